A 4xx from a server is the request's own fault: passed on, not retried, no failure of the server

Logged status by status, every failure was a 400: to requests of classes nobody configured, and to some with a query that all servers reject. Each of the latter was tried at up to five servers and counted against all five; three in a window remove a server.

The new outcome `rejected` is no verdict on the server. Such an answer goes to the client as it is, so it costs one attempt. 408 and 429 ask for another try and stay errors.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -85,6 +85,7 @@
 enum class Outcome {
     completed,
     errored,             // the server said so; it may have run
+    rejected,            // the server finds fault with the request itself, whoever is asked; may have run
     saturated,           // turned away; never ran, unless Settings::saturated_is_no_proof
     overdue,             // no answer in time; may have run or be running
     refused_connection,  // no connection; never ran
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -228,7 +228,7 @@
 
     void judge(Server& s, const Request& r, const Attempt& a, Outcome outcome, bool late, bool silent) {
         const bool success = outcome == Outcome::completed && !late;  // past its aim: as good as timed out
-        const bool verdict = outcome != Outcome::recalled && outcome != Outcome::superseded;
+        const bool verdict = is_verdict(outcome);
         if (s.standing == Standing::trial && a.trial) {
             if (verdict) return success ? restore(s) : remove(s);
             s.standing = Standing::removed;  // undecided: the next request is the trial
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -219,12 +219,13 @@
     --r.out;
     AttemptEnded event{id, number, outcome, clock_.now() - attempt.sent, r.ended};
     const ServerId server = attempt.server;
-    if (outcome == Outcome::completed && !r.ended) {
-        Front::Answer served(http::status::ok, 11);
-        copy_end_to_end(served, response);
-        served.body() = std::move(response.body());
+    // What a server makes of the request is the client's, be it that it can't be served.
+    if ((outcome == Outcome::completed || outcome == Outcome::rejected) && !r.ended) {
+        Front::Answer made(response.result(), 11);
+        copy_end_to_end(made, response);
+        made.body() = std::move(response.body());
         event.request_ended = r.ended = true;
-        front_->answer(id, std::move(served));
+        front_->answer(id, std::move(made));
     }
     forget_request(id);
     if (const auto held = servers_.find(server); held != servers_.end()) --held->second.out;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -19,10 +19,12 @@
 
 namespace {
 
-// What an answer tells, by the protocol's table. An error without the proof may have run.
+// What an answer tells, by the protocol's table. An error without the proof may have run; a 4xx is the
+// request's own, but for those that ask for another try.
 Outcome outcome_of(const Upstream::Response& response) {
     const unsigned status = response.result_int();
     if (status == 200) return Outcome::completed;
+    if (status / 100 == 4 && status != 408 && status != 429) return Outcome::rejected;
     const bool proof = (status == 503 || status == 504) && response["Not-Started"] == "1";
     return proof ? Outcome::saturated : Outcome::errored;
 }
--- a/src/support.hpp
+++ b/src/support.hpp
@@ -12,6 +12,11 @@
 // Throws std::invalid_argument naming the setting that makes no sense.
 void validate(const Settings& settings);
 
+// Whether an outcome tells anything of the server: none that was ours or the request's own doing does.
+inline bool is_verdict(Outcome o) {
+    return o != Outcome::rejected && o != Outcome::recalled && o != Outcome::superseded;
+}
+
 // What is left at now of a weight of 1 at since, for a memory of that length.
 inline double fade(Millis since, Millis now, Millis memory) { return std::exp((since - now) / memory); }
 
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -209,6 +209,28 @@
     EXPECT_EQ(arrived(), 2u);
 }
 
+// Found on page9581: requests that every server answers with 400 were tried at five servers each and counted
+// against all of them, until half of a healthy pool was removed.
+TEST_F(Net, ARequestThatServersFindFaultWithIsItsOwnFaultAndNotTheirs) {
+    start();
+    a.script = b.script = [](const auto& r) {
+        return Reply{r["Request-Id"].starts_with("bad") ? response("400 Bad Request", "no such sheet")
+                                                        : response("200 OK", "served")};
+    };
+    for (int i = 0; i < 40; ++i) {
+        const auto answer = ask(request(i % 2 ? "listen" : "deposit", "bad-" + std::to_string(i)));
+        EXPECT_EQ(answer.result_int(), 400u);
+        EXPECT_EQ(answer.body(), "no such sheet");
+    }
+    EXPECT_EQ(arrived(), 40u) << "none is tried twice";
+    EXPECT_EQ(sidecar->records(), 0u);
+    const std::size_t at_a = a.requests.size(), at_b = b.requests.size();
+    for (int i = 0; i < 40; ++i)
+        EXPECT_EQ(ask(request("listen", "id-" + std::to_string(i))).body(), "served");
+    EXPECT_GT(a.requests.size(), at_a) << "neither is out of the pool";
+    EXPECT_GT(b.requests.size(), at_b);
+}
+
 // SIGTERM: what is held is finished, what still comes is answered, each with the connection's end, then it is
 // done.
 TEST_F(Net, ADrainFinishesWhatIsHeldAndWhatStillComes) {
