A request of an unknown class or in a wrong form is answered at the front, not by the servers

The path names the class, and the class decides method and key; what breaks that gets 404 or 400 at once and never reaches the module. A second Request-Id, or a Request-Class that is not the path's, is no proper request.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -41,13 +41,14 @@
 std::optional<Front::Arrival> read_arrival(const Front::Message& message) {
     Front::Arrival arrival;
     const std::string timeout = text(message["Request-Timeout-Ms"]), hint = text(message["Work-Hint"]);
-    if (message["Request-Id"].empty() || !parse(timeout, arrival.time_left) || !(arrival.time_left >= 0) ||
-        arrival.time_left > 1e7)
+    if (message["Request-Id"].empty() || message.count("Request-Id") > 1 ||
+        !parse(timeout, arrival.time_left) || !(arrival.time_left >= 0) || arrival.time_left > 1e7)
         return std::nullopt;
     if (parse(hint, arrival.effort)) arrival.effort /= 1000;  // microseconds
     if (!(arrival.effort >= 0 && arrival.effort < 1e7)) arrival.effort = 0;
-    arrival.class_name = text(message["Request-Class"]);
-    if (arrival.class_name.empty()) arrival.class_name = first_part(message.target());
+    arrival.class_name = first_part(message.target());
+    const std::string named = text(message["Request-Class"]);
+    if (!named.empty() && named != arrival.class_name) return std::nullopt;
     arrival.tenant = text(message["Tenant"]);
     arrival.repeat = message["Client-Retry"] == "1";
     return arrival;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -28,6 +28,14 @@
 constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 constexpr Millis kLastCall = 3500;  // after which a drain ends whatever is open
 
+// Whether the method and the key are those that the protocol gives to a class.
+bool in_form(const RequestClass& kind, const Front::Message& message) {
+    const bool keyed = !message["Idempotency-Key"].empty();
+    if (kind.effect == Effect::repeatable)
+        return message.method() == http::verb::get && message.body().empty();
+    return message.method() == http::verb::post && keyed == (kind.effect == Effect::by_key);
+}
+
 std::string decimal(double value, const char* format) {
     char text[40];
     return {text, text + std::snprintf(text, sizeof text, format, value)};
@@ -189,6 +197,13 @@
     RequestArrived event;
     event.id = arrival.id;
     event.class_index = config_.site.class_index(arrival.class_name);
+    // What is no request of a class that is served here is answered here: no server has a use for it, and
+    // nobody knows whether it may run twice.
+    const auto& classes = config_.site.settings.classes;
+    if (event.class_index >= classes.size())
+        return front_->answer(arrival.id, Front::Answer(http::status::not_found, 11));
+    if (!in_form(classes[event.class_index], *arrival.message))
+        return front_->answer(arrival.id, Front::Answer(http::status::bad_request, 11));
     if (!arrival.tenant.empty()) event.tenant = config_.site.tenant_index(arrival.tenant);
     event.time_left = arrival.time_left;
     event.effort = arrival.effort;
