A peer that sends nothing, or a part of a request, is ended 2.2 s after it connects

A connection that sent nothing stayed for good, and a request sent in part had 5 s from its first byte. Each held a client slot and a descriptor; when the slots were full of half-sent requests, nobody was accepted.

Until a connection's first whole request the time counts from connecting; a later request has 2.5 s from its first byte. Connections that have served a request stay open as before.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -19,8 +19,9 @@
 
 namespace {
 
-constexpr Millis kAcceptPause = 20;    // when no descriptor is to be had
-constexpr Millis kLongestRead = 5000;  // of one request, from its first byte
+constexpr Millis kAcceptPause = 20;     // when no descriptor is to be had
+constexpr Millis kLongestRead = 2500;   // of one request, from its first byte
+constexpr Millis kFirstRequest = 2200;  // from connecting, or whoever it is has come for nothing
 
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
 
@@ -65,6 +66,13 @@
         socket_.non_blocking(true, ignored);
     }
 
+    // What has sent no whole request by then is ended: peers that come to send nothing, or little.
+    void begin() {
+        first_by_ = std::chrono::steady_clock::now() + span(kFirstRequest);
+        next();
+        if (phase_ == Phase::idle) close_at(*first_by_);
+    }
+
     void next() {
         phase_ = Phase::idle;
         since_ = std::chrono::steady_clock::now();
@@ -145,7 +153,7 @@
     void read() {
         phase_ = Phase::reading;
         parser_.emplace();
-        close_after(kLongestRead);
+        close_at(first_by_.value_or(std::chrono::steady_clock::now() + span(kLongestRead)));
         async_read_bounded(socket_, buffer_, *parser_, kBodyLimit,
                            [self = shared_from_this()](error_code failed) {
                                if (!self->owner_) return;
@@ -156,6 +164,7 @@
 
     void arrived(error_code failed) {
         if (failed) return malformed(failed) ? reject() : close();
+        first_by_.reset();
         keep_ = parser_->keep_alive();
         request_ = std::make_shared<const Message>(parser_->release());
         parser_.reset();
@@ -183,7 +192,7 @@
         phase_ = Phase::finishing;
         error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        close_after(kLinger);
+        close_at(std::chrono::steady_clock::now() + span(kLinger));
         discard();
     }
     void discard() {
@@ -194,8 +203,8 @@
                                 });
     }
 
-    void close_after(Millis length) {
-        timer_.expires_after(span(length));
+    void close_at(std::chrono::steady_clock::time_point when) {
+        timer_.expires_at(when);
         timer_.async_wait([weak = weak_from_this(), phase = phase_](error_code cancelled) {
             const auto self = weak.lock();
             if (!cancelled && self && self->phase_ == phase) self->close();
@@ -215,6 +224,7 @@
     Phase phase_ = Phase::idle;
     RequestId id_ = 0;
     std::chrono::steady_clock::time_point since_;
+    std::optional<std::chrono::steady_clock::time_point> first_by_;  // none: it has sent a request
     bool keep_ = true, waiting_ = false, readable_ = false;
 };
 
@@ -257,7 +267,7 @@
 void Front::accepted(Tcp::socket socket) {
     const auto client = std::make_shared<Client>(*this, std::move(socket));
     clients_.insert(client);
-    client->next();
+    client->begin();
 }
 
 // At the bound, the client that has been idle longest makes room; where none is, accepting waits for one.
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -244,6 +244,26 @@
     EXPECT_GT(b.requests.size(), at_b);
 }
 
+// Whoever connects is owed an error or a close within 3 s, also who sends nothing or only a part, however
+// it trickles. The application's own connections stay.
+TEST_F(Net, APeerThatSendsNothingOrAPartIsEndedInTime) {
+    start_with_a();
+    TestClient& kept = client();
+    kept.send(request("listen", "id-1"));
+    until([&] { return kept.answers.size() == 1; });
+    const auto began = std::chrono::steady_clock::now();
+    TestClient &silent = client(), &partial = client(), &body = client();
+    partial.send("GET /listen HTT");
+    const std::string whole = request("deposit", "id-2", 5000, "a body");
+    body.send(whole.substr(0, whole.size() - 2));
+    until([&] { return silent.ended && partial.ended && body.ended; });
+    EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(4500));
+    EXPECT_FALSE(kept.ended);
+    kept.send(request("listen", "id-3"));
+    until([&] { return kept.answers.size() == 2; });
+    EXPECT_EQ(a.requests.size(), 2u);
+}
+
 // SIGTERM: what is held is finished, what still comes is answered, each with the connection's end, then it is
 // done.
 TEST_F(Net, ADrainFinishesWhatIsHeldAndWhatStillComes) {
