A tenant beyond its share is held to a tenth of the room only where answers come late

Counted at each placing: every request without room was one counted as beyond its tenant's share. Each sidecar sees its own mix, so a tenant at home there looks far beyond its share, and a tenth of the room is little once the room follows what is out.

Excess now has the room common to all classes; from the mark on its part falls to its worth, with the time that answers take. Ruled out: lack of room for the others (out 13 of 30), removals (at most 1 of 15), full tables and connections (columns at 0).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -439,12 +439,13 @@
     }
     double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)); }
 
-    // Worth: the class worth most may fill the room, the others leave it part of theirs. A part of less than
-    // one attempt, in a fleet of light sidecars, bounds the mean over time.
+    // Worth: the class worth most may fill the room, the others leave it part of theirs; excess has the
+    // common part and less the later answers come. A part of less than one attempt bounds the mean over time.
     bool has_room(const Request& r) const {
-        const double worth = r.repeat ? 0 : r.kind.worth / top_worth;
-        const double part =
-            room * (kCommonRoom + (1 - kCommonRoom) * worth) * (r.excess ? settings.over_share_worth : 1);
+        const double due = r.excess ? settings.over_share_worth : 1;
+        const double worth = r.repeat ? 0 : due * r.kind.worth / top_worth;
+        const double calm = std::clamp(3 - 2 * crowding.value / kAimShare, due, 1.0);
+        const double part = room * (kCommonRoom + (1 - kCommonRoom) * worth) * calm;
         return outstanding < part && (part >= 1 || mean_out < 2 * part);
     }
 
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -492,29 +492,45 @@
     EXPECT_GE(rig.still_out(rig.burst(10, 2000)), 5);
 }
 
-// Found on page5416: of answers that vary, ten in a row often lie above the mark though their mean lies below
-// it. Each time the room was cut to what was out, and half of all requests were refused by idle servers.
-TEST(Admission, AnswersThatVaryAroundAMeanBelowTheMarkKeepTheRoomOpen) {
-    RequestClass cheap = make_class(Effect::repeatable), dear = make_class(Effect::once);
-    dear.worth = 3;
-    Rig rig(make_settings({cheap, dear}));
+// Of the second thousand requests, 250 a second by a tenant, those never sent: a quarter of the answers is
+// slow, the rest takes 90 ms of an aim of 400, which is no crowd.
+std::ptrdiff_t refused_in_a_calm(Settings s, std::uint32_t tenant, Millis slow) {
+    Rig rig(std::move(s));
     rig.list(ListKind::full, make_servers(12));
     std::minstd_rand random(7);
     std::multimap<Millis, RequestId> due;
     std::vector<RequestId> late_half;
-    for (int i = 0; i < 2000; ++i) {  // 250 a second; a quarter of the answers takes 350 ms, the rest 90
-        const RequestId id = rig.request(0, 2000);
+    for (int i = 0; i < 2000; ++i) {
+        const RequestId id = rig.request(0, 2000, false, tenant);
         if (i >= 1000) late_half.push_back(id);
-        if (rig.out(id)) due.emplace(rig.now + (random() % 4 == 0 ? 350 : 90), id);
+        if (rig.out(id)) due.emplace(rig.now + (random() % 4 == 0 ? slow : 90), id);
         rig.pass(4);
         while (!due.empty() && due.begin()->first <= rig.now) {
             rig.end(due.begin()->second, Outcome::completed, 0);
             due.erase(due.begin());
         }
     }
-    const auto refused =
-        std::count_if(late_half.begin(), late_half.end(), [&](RequestId id) { return rig.sends(id) == 0; });
-    EXPECT_LT(refused, 50);
+    return std::count_if(late_half.begin(), late_half.end(),
+                         [&](RequestId id) { return rig.sends(id) == 0; });
+}
+
+// Found on page5416: of answers that vary, ten in a row often lie above the mark though their mean lies below
+// it. Each time the room was cut to what was out, and half of all requests were refused by idle servers.
+TEST(Admission, AnswersThatVaryAroundAMeanBelowTheMarkKeepTheRoomOpen) {
+    RequestClass cheap = make_class(Effect::repeatable), dear = make_class(Effect::once);
+    dear.worth = 3;
+    EXPECT_LT(refused_in_a_calm(make_settings({cheap, dear}), ~0U, 350), 50);
+}
+
+// Found on page7946: a sidecar sees a tenant far more than its share of the service where that tenant's
+// copies of the application are. In a calm it was left a tenth of a room that is about twice what is out.
+TEST(Fairness, WithoutACrowdATenantBeyondItsShareIsServed) {
+    RequestClass cheap = make_class(Effect::repeatable), dear = make_class(Effect::once);
+    dear.worth = 3;
+    Settings s = make_settings({cheap, dear});
+    s.tenant_shares = {0.2, 0.8};
+    s.over_share_worth = 0.1;
+    EXPECT_LT(refused_in_a_calm(s, 0, 300), 50);
 }
 
 // Found on incident i09e102: choked servers answered far past the aim and counted as good.
