A lost zone is learned by three failures, and the room shrinks with the servers left

A failed connect took a server from one class of one sidecar (judge: share_of its class, shunned_until), as no window of 20 fills where a server is met once in five seconds: each of 100 sidecars paid for each class at each of 42 dead servers. Half of the pool could not be removed at all (may_remove).

Now one failed connect or silence removes a server where others have answered since; three in a row from one zone pass it over; a server silent for longer than the request's aim is passed over; and when the survey finds fewer warm servers live, the room comes down in proportion (survey), from the usual peak of what is out.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -47,6 +47,7 @@
 // The part of the room that is there for every class, however little its worth, and all that repeats get: a
 // repeat's aim has been running since its first try.
 constexpr double kCommonRoom = 0.6;
+constexpr int kLost = 3;         // outcomes out of reach, of any servers of a zone, after which it is avoided
 constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
@@ -89,6 +90,7 @@
     std::vector<Server*> used;    // our part of the pool, and what has just left it
     std::vector<Server*> cold;    // of the fleet, when last listed
     std::set<ServerId> ejected;   // removed from the pool
+    std::map<ZoneId, int> lost;   // outcomes out of reach since one of the zone's servers answered
     // Of the fleet, as last surveyed: completed by a warm server for us in a millisecond; warm and in the
     // pool.
     double warm_rate = 0, warm_live = 0;
@@ -112,11 +114,6 @@
         return class_index < all.size() ? open(all[class_index]) : std::all_of(all.begin(), all.end(), open);
     }
 
-    bool in_scope(const Request& r, const Attempt& a, const ServerInfo& s) const {
-        if (r.kind.dedup_scope == DedupScope::all) return true;
-        return r.kind.dedup_scope == DedupScope::zone ? a.to.zone == s.zone : a.to.cell == s.cell;
-    }
-
     bool may_send(const Request& r, Server& s) {
         if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
         if (r.attempts.size() >= settings.max_attempts) return false;
@@ -145,26 +142,26 @@
     // warm_within. We send it that share of what a warm server carries for us (not of the mean of all, which
     // starting servers pull down), so the sum over all sidecars stays within what it can do without agreement
     // among them. Carried, not asked for: in a storm of retries that is many times what a warm server can do.
-    bool is_cold(const Server& s) const {
-        return settings.warm_within > 0 && s.info.online_since > 0 &&
-               now < s.info.online_since + settings.warm_within;
-    }
+    bool is_cold(const Server& s) const { return warmth(s.info, settings, now) < 1; }
     // Passes over all servers are made at most this often: in a large fleet they cost more than all else.
     void survey() {
         if (now < surveyed_at + kSurvey) return;
         surveyed_at = now;
         double sum = 0, warm = 0;
+        const double before = warm_live;
         warm_live = 0;
         for (const Server* s : fleet) {
             if (is_cold(*s)) continue;
             sum += s->carried.at_time(now, kRateMemory), ++warm;
-            warm_live += s->standing == Standing::live;
+            warm_live += s->standing == Standing::live && !is_lost(s->info.zone);
         }
+        // Fewer servers take as much less: all turn to them at once, and late answers would tell it too late.
+        if (warm_live < before)
+            room = std::max(room_floor(), std::min(room, usual_peak(mean_out)) * warm_live / before);
         warm_rate = sum / std::max(1.0, warm) / kRateMemory;
     }
     double cold_tokens(Server& s) {
-        const double age = std::max(0.0, now - s.info.online_since) / settings.warm_within;
-        const double share = settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+        const double share = settings.cold_from + (1 - settings.cold_from) * warmth(s.info, settings, now);
         // While its answers come in time most of what would push it over; else just its share. Within that
         // its outstanding requests decide, as everywhere.
         const double feed = s.pace.value > kAimShare ? 1 : std::max(1.0, kFeed * settings.fall_multiple);
@@ -219,6 +216,7 @@
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window.clear();
             s.shunned_until.clear();
+            if (!fresh) lost[info.zone] = 0;
         }
         s.info = info;
         s.listed = info.phase != Phase::off;
@@ -236,28 +234,29 @@
             return;
         }
         if (!verdict || s.standing != Standing::live) return;
+        // Out of reach: no connection, or silence. Whoever meets a server seldom fills no window: where
+        // others have answered since, it is the server's doing, and one such outcome is enough.
+        if (silent || (outcome == Outcome::refused_connection && now < r.deadline)) {
+            if (++lost[s.info.zone] == kLost) surveyed_at = -kSurvey;
+            if (others_answer(s, a.sent_at)) return remove(s);
+        }
         if (outcome == Outcome::saturated || outcome == Outcome::refused_connection) s.in_use = false;
         s.window.push_back({r.class_index, success});
         if (s.window.size() > kWindow) s.window.pop_front();
-        // Where traffic is thin, or a server fails one class and serves the others, the class's part of the
-        // window is read as it stands: below the threshold, the class shuns the server for a backoff, as long
-        // as others will have it. Lateness and a full queue don't count: under a crowd they say nothing of
-        // one server.
+        // Where traffic is thin, or a server fails one class only, the class's part of the window is read as
+        // it stands: below the threshold the class shuns the server for a backoff. Lateness and a full queue
+        // don't count: under a crowd they say nothing of one server.
         if (success) s.shunned_until.erase(r.class_index);
         const bool outright = outcome != Outcome::completed && outcome != Outcome::saturated &&
                               (outcome != Outcome::overdue || silent);
-        const bool alone = fails_one_class(s, r.class_index);
+        const bool alone =
+            s.share_of(r.class_index, false, kKindWorth) >= kThreshold;  // its others are served
         if (outright && (alone || s.window.size() < kWindow) &&
             s.share_of(r.class_index, true, 1) < kThreshold)
             s.shunned_until[r.class_index] = now + kBackoff;
         if (!success && below_threshold(s) && !alone && may_remove(s)) remove(s);
     }
 
-    // The window's other classes are served: then the class shuns the server and the rest keep it.
-    static bool fails_one_class(const Server& s, std::uint32_t class_index) {
-        return s.share_of(class_index, false, kKindWorth) >= kThreshold;
-    }
-
     // Shared slowness makes every server fail, and removing them all makes it an outage. So a server is held
     // against the others: 0.9 of their success share, less three standard errors of a window of that share.
     // While the others don't fail, this is 0.9. A window not yet full is judged as if the rest were
@@ -294,6 +293,15 @@
         return true;
     }
 
+    bool others_answer(const Server& one, Millis since) const {
+        return std::any_of(servers.begin(), servers.end(), [&](const auto& s) {
+            return &s.second != &one && s.second.standing == Standing::live && s.second.answered_at > since;
+        });
+    }
+
+    // A zone out of reach: its last outcomes all were, whichever servers they met.
+    bool is_lost(ZoneId zone) { return lost[zone] >= kLost; }
+
     void remove(Server& s) {
         if (s.standing == Standing::live) act(Log{"removed from the pool", s.info.id});
         s.standing = Standing::removed;
@@ -341,8 +349,8 @@
         }
         for (std::size_t i = 0; admitted && live.empty() && i < fleet.size(); ++i)
             if (spare(fleet[i])) offer(*fleet[i]);
-        if (live.empty()) live.swap(leave);
-        if (live.empty()) live.swap(again);
+        for (auto* const rest : {&leave, &again})
+            if (live.empty()) live.swap(*rest);
         if (live.empty()) return nullptr;
         Server* const best = better_of_two(live);
         if (leave.empty()) return best;
@@ -371,9 +379,10 @@
         return other ? second : first;
     }
 
-    bool shuns(const Request& r, const Server& s) const {
+    bool shuns(const Request& r, const Server& s) {
         const auto at = s.shunned_until.find(r.class_index);
-        return at != s.shunned_until.end() && now < at->second;
+        return (at != s.shunned_until.end() && now < at->second) || is_lost(s.info.zone) ||
+               s.quiet_for(r.kind.aim, now);
     }
 
     // What a send there costs: the time of answers against the aim, and what is paid for crossing zones.
@@ -392,18 +401,11 @@
         return kind + (s.pace.value - kind) * n / (n + kKindWorth);
     }
 
-    // One of them at random, by quickness: with each kind's share of the work as the inverse of the
-    // time its answers take, fast and slow machines end up equally busy.
+    // One of them at random, by quickness: with each kind's share of the work as the inverse of the time its
+    // answers take, fast and slow machines end up equally busy.
     std::size_t draw(const std::vector<Server*>& from) {
-        const std::size_t n = from.size();
-        double sum = 0;
-        for (std::size_t i = 0; i < n; ++i) sum += quickness(*from[i]);
-        double at = random.unit() * sum;
-        for (std::size_t i = 0; i + 1 < n; ++i)
-            if ((at -= quickness(*from[i])) < 0) return i;
-        return n - 1;
+        return weighted(random, from.size(), [&](std::size_t i) { return 1 / cost(*from[i]); });
     }
-    double quickness(const Server& s) { return 1 / cost(s); }
 
     // ---- Admission --------------------------------------------------------------------------------------
 
@@ -520,6 +522,7 @@
     void place(Request& r) {
         count_out();
         if (hopeless(r) && !r.any_out()) return finish(r);
+        survey();
         const bool admitted = has_room(r);
         if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
         if (Server* s = pick(r, admitted)) return dispatch(r, *s);
@@ -539,7 +542,7 @@
         if (trial) s.standing = Standing::trial, ejected.erase(s.info.id);
         if (cold) s.tokens -= 1;
         if (!r.attempts.empty()) retry_budget -= 1;
-        ++s.outstanding;
+        if (s.outstanding++ == 0) s.quiet_since = now;
         if (!s.in_use) used.push_back(&s);
         s.in_use = true;
         outstanding += !cold;
@@ -559,9 +562,7 @@
         const bool overdue = e.outcome == Outcome::overdue;
         answered.add(overdue ? 0.0 : 1.0, now, kSamples, kRateMemory);
         const bool silent = overdue && s.answered_at < a.sent_at && answered.value > 0.5;
-        if (e.outcome == Outcome::completed || e.outcome == Outcome::errored ||
-            e.outcome == Outcome::saturated)
-            s.answered_at = now;
+        if (is_answer(e.outcome)) s.answered_at = s.quiet_since = now, lost[s.info.zone] = 0;
         adapt_room(s, r, e, silent);
         if (e.outcome == Outcome::completed) {
             s.carried.add(1, now, kRateMemory);
@@ -650,8 +651,7 @@
             place(it->second);
     }
 
-    template <class Other>
-    void on(const Other&) {}  // probes and peers: not used
+    void on(const auto&) {}  // probes and peers: not used
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -33,10 +33,13 @@
     double tokens = 0;  // sends a cold server may still take
     Millis tokens_at = 0;
     Millis answered_at = 0;  // when anything last came from it
+    Millis quiet_since = 0;  // while attempts are out there: since when nothing has come
     Tally carried;           // its completed attempts
     bool in_use = false;     // in our part of the pool
     Mean pace;               // its answers' time against their aim, of late
 
+    // What is out there has been out for longer than that, and nothing else has come since.
+    bool quiet_for(Millis length, Millis now) const { return outstanding > 0 && now - quiet_since > length; }
     double successes() const {
         return static_cast<double>(
             std::count_if(window.begin(), window.end(), [](const Result& w) { return w.success; }));
@@ -86,4 +89,16 @@
     }
 };
 
+// How far it is through its warm-up, from 0; 1: warm.
+inline double warmth(const ServerInfo& s, const Settings& settings, Millis now) {
+    if (settings.warm_within <= 0 || s.online_since <= 0) return 1;
+    return std::clamp((now - s.online_since) / settings.warm_within, 0.0, 1.0);
+}
+
+// Whether a server drops repeats of what the attempt may have run.
+inline bool in_scope(const Request& r, const Attempt& a, const ServerInfo& s) {
+    if (r.kind.dedup_scope == DedupScope::all) return true;
+    return r.kind.dedup_scope == DedupScope::zone ? a.to.zone == s.zone : a.to.cell == s.cell;
+}
+
 }  // namespace kestrelhall
--- a/src/support.hpp
+++ b/src/support.hpp
@@ -17,6 +17,11 @@
     return o != Outcome::rejected && o != Outcome::recalled && o != Outcome::superseded;
 }
 
+// Whether something came from the server that was asked.
+inline bool is_answer(Outcome o) {
+    return o == Outcome::completed || o == Outcome::errored || o == Outcome::saturated;
+}
+
 // What is left at now of a weight of 1 at since, for a memory of that length.
 inline double fade(Millis since, Millis now, Millis memory) { return std::exp((since - now) / memory); }
 
@@ -58,4 +63,17 @@
     std::uint64_t state_;
 };
 
+// One of n at random, by their weights.
+std::size_t weighted(Random& random, std::size_t n, const auto& weight) {
+    double sum = 0;
+    for (std::size_t i = 0; i < n; ++i) sum += weight(i);
+    double at = random.unit() * sum;
+    for (std::size_t i = 0; i + 1 < n; ++i)
+        if ((at -= weight(i)) < 0) return i;
+    return n - 1;
+}
+
+// How many are out at most as a rule where they come by chance: with a small mean far more than that.
+inline double usual_peak(double mean) { return mean + 2 * std::sqrt(mean) + 1; }
+
 }  // namespace kestrelhall
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -939,6 +939,95 @@
     EXPECT_GT(one(rig, Outcome::completed, 10), 0U);
 }
 
+// Found on a day with a lost zone: every sidecar paid for every class at every dead server, as none fills a
+// window.
+TEST(Reach, OneFailedConnectionRemovesAServerForAllClassesWhereOthersAnswer) {
+    for (const bool others : {true, false}) {
+        Settings s = make_settings({make_class(Effect::repeatable), make_class(Effect::repeatable)});
+        s.siblings = 100;
+        Rig rig(s);
+        rig.list(ListKind::full, make_servers(20));
+        const RequestId first = rig.request(0), second = rig.request(0);
+        const ServerId bad = rig.where(first);
+        ASSERT_NE(bad, rig.where(second));
+        if (others) rig.end(second, Outcome::completed);
+        rig.end(first, Outcome::refused_connection);
+        EXPECT_EQ(rig.removals(), others ? 1 : 0);
+        if (!others) continue;
+        for (int i = 0; i < 200; ++i) EXPECT_NE(one(rig, Outcome::completed, 10, 1), bad);
+    }
+}
+
+TEST(Reach, SilenceRemovesAServerToo) {
+    Rig rig = among(100, 20);
+    const RequestId first = rig.request(0, 400);
+    for (int i = 0; i < 6; ++i) one(rig, Outcome::completed, 50);
+    EXPECT_EQ(rig.removals(), 0);
+    rig.pass(200);
+    EXPECT_EQ(rig.removals(), 1) << rig.where(first);
+}
+
+// Sixty servers, twenty a zone, all in use; then requests one by one, of which those that reach zone 1 find
+// no connection. Returns how many attempts did.
+int lose_zone_1(Rig& rig) {
+    for (int i = 0; i < 60; ++i) rig.serve(rig.burst(60, 5000), 150);
+    int failed = 0;
+    for (int i = 0; i < 100; ++i)
+        for (const RequestId id = rig.request(); rig.out(id);) {
+            const bool lost = rig.where(id) % 3 == 1;
+            failed += lost;
+            rig.end(id, lost ? Outcome::refused_connection : Outcome::completed, 5);
+        }
+    return failed;
+}
+
+TEST(Reach, AZoneWhoseServersAllFailIsLeftBeforeEachHasFailed) {
+    Rig rig = among(100, 60);
+    EXPECT_EQ(lose_zone_1(rig), 3);
+}
+
+TEST(Reach, AZoneThatHasStartedAnewIsUsedAgain) {
+    Rig rig = among(100, 60);
+    lose_zone_1(rig);
+    std::vector<ServerInfo> servers = make_servers(60);
+    for (ServerInfo& s : servers)
+        if (s.zone == 1) s.online_since = rig.now - 20001;  // and is warm by now
+    rig.list(ListKind::full, servers);
+    const std::vector<RequestId> ids = rig.burst(40);
+    EXPECT_TRUE(std::any_of(ids.begin(), ids.end(), [&](RequestId id) { return rig.where(id) % 3 == 1; }));
+}
+
+// A server that has taken a request longer than ours may take, and says nothing, is passed over.
+TEST(Reach, AQuietServerIsPassedOverUntilItAnswers) {
+    Rig rig = among(100, 4);
+    widen(rig, 8);
+    const RequestId stuck = rig.request(0, 5000);
+    const ServerId quiet = rig.where(stuck);
+    const auto reaches = [&](const std::vector<RequestId>& ids) {
+        const bool any =
+            std::any_of(ids.begin(), ids.end(), [&](RequestId id) { return rig.where(id) == quiet; });
+        rig.serve(ids, 20);
+        return any;
+    };
+    EXPECT_TRUE(reaches(rig.burst(8)));
+    rig.pass(500);  // its class's aim is 400
+    EXPECT_FALSE(reaches(rig.burst(8)));
+    rig.end(stuck, Outcome::completed, 0);
+    EXPECT_TRUE(reaches(rig.burst(8)));
+}
+
+// What all sidecars sent to sixty servers, thirty cannot take; each would learn it from answers too late.
+TEST(Admission, TheRoomShrinksAtOnceWithTheServersThatAreLeft) {
+    Rig rig = among(100, 20);
+    for (int i = 0; i < 100; ++i) rig.serve(rig.burst(40, 5000), 150);  // 15 s with 40 out
+    std::vector<ServerInfo> gone = make_servers(16);
+    for (ServerInfo& s : gone) s.phase = Phase::fading;
+    rig.list(ListKind::incremental, gone);
+    rig.now += 200;
+    EXPECT_LE(rig.still_out(rig.burst(100, 5000)), 16);  // a fifth of 40 and of its chance peaks
+    rig.pass(6000);
+}
+
 // Found on reading: the number 0 stood for the list's timer.
 TEST(Ids, AnyNumberNamesARequest) {
     Rig rig(make_settings());
