Cold buckets start filled, restarted servers leave a lost zone, and a crowd is forgotten in aims

Each of 100 sidecars began with a bucket between 0 and one token below empty (learn: -random.unit()), at a rate of a token in several seconds. One restarted server also took the mark off its whole zone: 27 servers still gone counted as live, then as lost again, and cut the room once more. From second 14 on the median refusal had nothing out, under a room of 0.8: a part below one attempt was held against a mean of five seconds (has_room: mean_out < 2 * part).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -47,6 +47,7 @@
 // The part of the room that is there for every class, however little its worth, and all that repeats get: a
 // repeat's aim has been running since its first try.
 constexpr double kCommonRoom = 0.6;
+constexpr double kSpare = 1.25;  // of what is out, what the servers can take before they jam
 constexpr int kLost = 3;         // outcomes out of reach, of any servers of a zone, after which it is avoided
 constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
@@ -57,7 +58,8 @@
 struct Balancer::Impl {
     Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
         validate(settings);
-        for (const RequestClass& c : settings.classes) top_worth = std::max(top_worth, c.worth);
+        for (const RequestClass& c : settings.classes)
+            top_worth = std::max(top_worth, c.worth), least_aim = std::min(least_aim, c.aim);
     }
 
     Settings settings;
@@ -71,8 +73,9 @@
     std::uint64_t next_order = 0;
     Millis resubscribe = kResubscribe;
     double retry_budget = kRetryBurst;
-    int outstanding = 0;  // at servers that were warm when asked
-    double mean_out = 0;  // the same, its mean over time of late
+    int outstanding = 0;   // at servers that were warm when asked
+    double mean_out = 0;   // the same, its mean over time of late
+    double brief_out = 0;  // and over an aim
     Millis mean_at = 0;
     Tally wanted;              // the aims of first tries
     std::vector<Tally> asked;  // by tenant
@@ -81,8 +84,10 @@
     Mean answered{1};                    // share of attempts answered in time, of late
     std::map<KindId, Mean> kind_pace;
     std::map<std::pair<ZoneId, KindId>, Mean> place_pace;
-    Mean crowding;  // answers' time against their aim, of late
+    Mean crowding;   // answers' time against their aim, of late
+    Mean cold_pace;  // the same of cold servers
     double top_worth = 1e-9;
+    Millis least_aim = kRateMemory;
     double room = kRoomAtStart;   // attempts that may be outstanding
     std::vector<RequestId> held;  // may name finished ones
     std::vector<RequestId> done;  // ended during this event
@@ -90,7 +95,7 @@
     std::vector<Server*> used;    // our part of the pool, and what has just left it
     std::vector<Server*> cold;    // of the fleet, when last listed
     std::set<ServerId> ejected;   // removed from the pool
-    std::map<ZoneId, int> lost;   // outcomes out of reach since one of the zone's servers answered
+    std::map<ZoneId, Loss> lost;
     // Of the fleet, as last surveyed: completed by a warm server for us in a millisecond; warm and in the
     // pool.
     double warm_rate = 0, warm_live = 0;
@@ -153,18 +158,21 @@
         for (const Server* s : fleet) {
             if (is_cold(*s)) continue;
             sum += s->carried.at_time(now, kRateMemory), ++warm;
-            warm_live += s->standing == Standing::live && !is_lost(s->info.zone);
+            warm_live += s->standing == Standing::live && !is_lost(s->info);
         }
         // Fewer servers take as much less: all turn to them at once, and late answers would tell it too late.
         if (warm_live < before)
-            room = std::max(room_floor(), std::min(room, usual_peak(mean_out)) * warm_live / before);
+            room = std::max(room_floor(), std::min(room, kSpare * (std::max(mean_out, brief_out) + 1) *
+                                                             warm_live / before));
         warm_rate = sum / std::max(1.0, warm) / kRateMemory;
     }
     double cold_tokens(Server& s) {
         const double share = settings.cold_from + (1 - settings.cold_from) * warmth(s.info, settings, now);
         // While its answers come in time most of what would push it over; else just its share. Within that
         // its outstanding requests decide, as everywhere.
-        const double feed = s.pace.value > kAimShare ? 1 : std::max(1.0, kFeed * settings.fall_multiple);
+        const double n = s.carried.at_time(now, kRateMemory);
+        const double late = cold_pace.value + (s.pace.value - cold_pace.value) * n / (n + kKindWorth);
+        const double feed = late > kAimShare ? 1 : std::max(1.0, kFeed * settings.fall_multiple);
         // Never less than the trials of a few sidecars: that much from each of a thousand pushes it over.
         survey();
         const double fed = std::max(feed * share * warm_rate, our_part() / kBackoff);
@@ -210,13 +218,12 @@
         const auto [it, fresh] = servers.try_emplace(info.id);
         Server& s = it->second;
         if (fresh || info.online_since > s.info.online_since) {
-            // An empty bucket, at a different depth for each sidecar: first tokens must not fall together.
-            s.tokens = -random.unit();
+            // As if long filling, at a different depth for each sidecar: tokens must not fall together.
+            s.tokens = random.unit();
             s.tokens_at = now;
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window.clear();
             s.shunned_until.clear();
-            if (!fresh) lost[info.zone] = 0;
         }
         s.info = info;
         s.listed = info.phase != Phase::off;
@@ -237,8 +244,9 @@
         // Out of reach: no connection, or silence. Whoever meets a server seldom fills no window: where
         // others have answered since, it is the server's doing, and one such outcome is enough.
         if (silent || (outcome == Outcome::refused_connection && now < r.deadline)) {
-            if (++lost[s.info.zone] == kLost) surveyed_at = -kSurvey;
-            if (others_answer(s, a.sent_at)) return remove(s);
+            lost[s.info.zone].add(now);
+            surveyed_at = -kSurvey;
+            if (others_answer(servers, s, a.sent_at)) return remove(s);
         }
         if (outcome == Outcome::saturated || outcome == Outcome::refused_connection) s.in_use = false;
         s.window.push_back({r.class_index, success});
@@ -265,21 +273,11 @@
         const double unfilled = static_cast<double>(kWindow - s.window.size());
         const double share = (s.successes() + unfilled) / kWindow;
         if (share >= kThreshold) return false;  // whatever the others do
-        const double level = level_without(s);
+        const double level = level_without(servers, s);
         const double noise = std::sqrt(level * (1 - level) / static_cast<double>(kWindow));
         return share < kThreshold * level - 3 * noise;
     }
 
-    double level_without(const Server& s) const {
-        double good = 0, all = 0;
-        for (const auto& [id, other] : servers)
-            if (&other != &s && other.standing == Standing::live) {
-                good += other.successes();
-                all += static_cast<double>(other.window.size());
-            }
-        return all > 0 ? good / all : 1;
-    }
-
     // Panic threshold: half of the listed servers stay in the pool, whatever their windows say; for each
     // class, half of those open to it.
     bool may_remove(const Server& one) const {
@@ -293,14 +291,7 @@
         return true;
     }
 
-    bool others_answer(const Server& one, Millis since) const {
-        return std::any_of(servers.begin(), servers.end(), [&](const auto& s) {
-            return &s.second != &one && s.second.standing == Standing::live && s.second.answered_at > since;
-        });
-    }
-
-    // A zone out of reach: its last outcomes all were, whichever servers they met.
-    bool is_lost(ZoneId zone) { return lost[zone] >= kLost; }
+    bool is_lost(const ServerInfo& s) { return lost[s.zone].covers(s, now, kLost, kBackoff); }
 
     void remove(Server& s) {
         if (s.standing == Standing::live) act(Log{"removed from the pool", s.info.id});
@@ -381,7 +372,7 @@
 
     bool shuns(const Request& r, const Server& s) {
         const auto at = s.shunned_until.find(r.class_index);
-        return (at != s.shunned_until.end() && now < at->second) || is_lost(s.info.zone) ||
+        return (at != s.shunned_until.end() && now < at->second) || is_lost(s.info) ||
                s.quiet_for(r.kind.aim, now);
     }
 
@@ -421,7 +412,7 @@
         s.pace.add(ratio, now, kSamples, kRateMemory);
         for (Mean* pooled : {&kind_pace[s.info.kind], &place_pace[{s.info.zone, s.info.kind}]})
             pooled->add(ratio, now, 5 * kSamples, 4 * kRateMemory);
-        if (is_cold(s)) return;  // slow by nature: it says nothing of the pool
+        if (is_cold(s)) return cold_pace.add(ratio, now, kSamples, kRateMemory);  // nothing of the pool
         const Millis since = std::min(now - crowding.at, 1000.0);
         crowding.add(ratio, now, kSamples, kRateMemory);
         const double pull = std::exp(kRoomGain * (kAimShare - crowding.value) * since);
@@ -448,7 +439,7 @@
         const double worth = r.repeat ? 0 : due * r.kind.worth / top_worth;
         const double calm = std::clamp(3 - 2 * crowding.value / kAimShare, due, 1.0);
         const double part = room * (kCommonRoom + (1 - kCommonRoom) * worth) * calm;
-        return outstanding < part && (part >= 1 || mean_out < 2 * part);
+        return outstanding < part && (part >= 1 || brief_out < part);
     }
 
     // Fairness. A tenant that asks for more than its share of what reaches us (a burst, or clients that
@@ -468,6 +459,7 @@
     // Called before outstanding changes; place() calls it for dispatch() and for whoever uses the mean.
     void count_out() {
         mean_out = outstanding + (mean_out - outstanding) * fade(mean_at, now, kRateMemory);
+        brief_out = outstanding + (brief_out - outstanding) * fade(mean_at, now, 3 * least_aim);
         mean_at = now;
     }
 
@@ -562,7 +554,7 @@
         const bool overdue = e.outcome == Outcome::overdue;
         answered.add(overdue ? 0.0 : 1.0, now, kSamples, kRateMemory);
         const bool silent = overdue && s.answered_at < a.sent_at && answered.value > 0.5;
-        if (is_answer(e.outcome)) s.answered_at = s.quiet_since = now, lost[s.info.zone] = 0;
+        if (is_answer(e.outcome)) s.answered_at = s.quiet_since = now, lost[s.info.zone].answered(s.info);
         adapt_room(s, r, e, silent);
         if (e.outcome == Outcome::completed) {
             s.carried.add(1, now, kRateMemory);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,6 +54,41 @@
     }
 };
 
+using Servers = std::map<ServerId, Server>;
+
+// The share of successes that the live servers but this one show; 1 where they show nothing.
+inline double level_without(const Servers& servers, const Server& one) {
+    double good = 0, all = 0;
+    for (const auto& [id, s] : servers)
+        if (&s != &one && s.standing == Standing::live) {
+            good += s.successes();
+            all += static_cast<double>(s.window.size());
+        }
+    return all > 0 ? good / all : 1;
+}
+
+// Whether anything has come from a live server but this one.
+inline bool others_answer(const Servers& servers, const Server& one, Millis since) {
+    return std::any_of(servers.begin(), servers.end(), [&](const auto& entry) {
+        const Server& s = entry.second;
+        return &s != &one && s.standing == Standing::live && s.answered_at > since;
+    });
+}
+
+// Outcomes out of reach in a zone, since one of its servers answered.
+struct Loss {
+    int outcomes = 0;
+    Millis at = 0;  // of the last
+    void add(Millis now) { ++outcomes, at = now; }
+    // Servers started since say nothing of the others.
+    void answered(const ServerInfo& s) {
+        if (s.online_since < at || at == 0) *this = {};
+    }
+    bool covers(const ServerInfo& s, Millis now, int enough, Millis length) const {
+        return outcomes >= enough && now < at + length && s.online_since < at;
+    }
+};
+
 struct Attempt {
     ServerInfo to;
     Millis sent_at = 0;
