Refusals say when to come back: the longest time that clients are told to follow

The module gave no advice (finish: Refuse{id, 0}) and the settings limits.retry-after and max-retry-after-ms were not read.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -56,6 +56,7 @@
     std::uint32_t max_attempts = 3;  // for one request, the first included
     bool parallel_tries = false;     // two attempts of one request may be out together
     bool may_cancel = true;          // Cancel is permitted
+    Millis max_retry_in = 0;         // the longest advice that clients follow; 0: they get none
     double cold_from = 1;            // a starting server has at least this share of its capacity, 0 to 1
     Millis warm_within = 0;          // and all of it after this
     double fall_multiple = 2;  // sent more than this multiple of what it can do, a cold server falls over
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -599,11 +599,12 @@
         done.push_back(e.id);
     }
 
-    // The only final answer: a refusal where that is true, else a failure.
+    // The only final answer: a refusal where that is true, else a failure. Who comes back sooner than need be
+    // finds the same crowd, and adds to it.
     void finish(Request& r) {
         if (r.ended || r.streaming) return;
         cancel_all(r);
-        act(may_refuse(r) ? Action(Refuse{r.id, 0}) : Action(GiveUp{r.id}));
+        act(may_refuse(r) ? Action(Refuse{r.id, settings.max_retry_in}) : Action(GiveUp{r.id}));
         r.ended = true;
         done.push_back(r.id);
     }
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -115,6 +115,8 @@
     s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
     s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
     s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
+    if (start.flag_or("limits.retry-after", false))
+        s.max_retry_in = start.number_or("limits.max-retry-after-ms", s.max_retry_in);
     s.may_cancel = start.flag_or("limits.may-cancel", false);
     s.cold_from = start.number_or("rules.cold-from", s.cold_from);
     s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -55,6 +55,24 @@
     EXPECT_NE(r.out.find("END frame=2\n"), std::string::npos);
 }
 
+// A refusal says when to come back, where clients are told: no server is known, so none may have the request.
+TEST(Host, ARefusalSaysWhenToComeBackWhereTheSettingsAllow) {
+    for (const bool allowed : {true, false}) {
+        std::string start = start_line;
+        start.insert(start.find(" membership-mode"),
+                     std::string(" limits.max-retry-after-ms=1500.0 limits.retry-after=") +
+                         (allowed ? "true" : "false"));
+        const Played sent = run(mark(1) + start + over + mark(2, 1010) + accept + over);
+        const std::string after = "AFTER who=sidecar-3 at-ms=1035.000 nonce=";  // a sixteenth of the aim
+        ASSERT_NE(sent.out.find(after), std::string::npos) << sent.out;
+        const std::string nonce = sent.out.substr(sent.out.find(after) + after.size(), 1);
+        const Played r = run(mark(1) + start + over + mark(2, 1010) + accept + over + mark(3, 1035) +
+                             "TICK_DUE who=sidecar-3 nonce=" + nonce + "\n" + over);
+        EXPECT_EQ(r.out.find("retry-in-ms=1500") != std::string::npos, allowed) << r.out;
+        EXPECT_NE(r.out.find("r-1"), std::string::npos) << r.out;
+    }
+}
+
 TEST(Host, VerdictLeadsToAnotherAttemptElsewhere) {
     const Played first = run(opening + mark(2, 1010) + accept + over);
     const bool a = first.out.find("server=server_a") != std::string::npos;
