--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -966,6 +966,18 @@
     }
 }
 
+// Our own want of connections is not the server's doing.
+TEST(Reach, WhatWasNotIssuedRemovesNobody) {
+    Rig rig = among(100, 20);
+    for (int i = 0; i < 40; ++i) {
+        const RequestId other = rig.request(), id = rig.request();
+        rig.end(other, Outcome::completed);
+        if (rig.out(id)) rig.end(id, Outcome::superseded);
+        if (rig.out(id)) rig.end(id, Outcome::completed);
+    }
+    EXPECT_EQ(rig.removals(), 0);
+}
+
 TEST(Reach, SilenceRemovesAServerToo) {
     Rig rig = among(100, 20);
     const RequestId first = rig.request(0, 400);
