Operators' address: GET /ready and GET /metrics, answered beside any traffic

Design: a listener of its own in the one io_context, with eight callers at a time out of the 24 descriptors that clients and servers never get. Each has 5 s for its head; the one longest here without a whole call makes room. Counting is by plain integers, each bumped at one place: a request is in flight from its arrival until its answer is written or can't be, and ends by the status of what it was answered, or as failed where its client has left. Attempts count when their last byte is written. The module tells how many listed servers it avoids beside `Held`; rendering is apart. Not taken: a thread of its own. It would need locks about everything counted, and the one core is the limit anyway; the loop's turns are short. Nor a path on the clients' address: theirs may be full.

The test's client no longer takes up what was queued for one before it at the same place in memory: found by logging both ends' ports when requests seemed lost.

Without the part the new tests do not build; with callers never making room, HoldersAndAFullHouse fails.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -195,9 +195,10 @@
     // Appends to actions. Events about unknown or finished things have no effect.
     void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
-    // Requests, servers and timers held at present: what this instance costs in memory.
+    // Requests, servers and timers held at present: what this instance costs in memory. And the listed
+    // servers that it avoids now: removed, in a lost zone, or leaving.
     struct Held {
-        std::size_t requests = 0, servers = 0, timers = 0;
+        std::size_t requests = 0, servers = 0, timers = 0, avoided = 0;
     };
     Held held() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -663,7 +663,8 @@
 }
 
 Balancer::Held Balancer::held() const {
-    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(),
+            avoided(impl_->servers, impl_->lost, impl_->now, kLost, kBackoff)};
 }
 
 }  // namespace kestrelhall
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,7 +20,10 @@
     if (!file)
         throw kestrelhall::net::ConfigError("'LB_CONFIG' names a file that can't be read: " +
                                             std::string(path));
-    return kestrelhall::net::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
+    auto config = kestrelhall::net::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
+    if (const char* const text = std::getenv("LB_OPERATOR"); text && *text && !config.operators)
+        config.operators = kestrelhall::net::read_address(text, "LB_OPERATOR");
+    return config;
 }
 
 }  // namespace
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -140,7 +140,10 @@
     config.discovery = get_endpoint<Tcp>(json, "discovery");
     config.seed = read_seed(get<std::string>(json, "seed"));
     if (const Json limits = get_or<Json>(json, "limits", Json::object()); limits.is_object())
-        config.sockets = get_or<std::size_t>(limits, "sockets", config.sockets);
+        config.sockets = get_or<std::size_t>(limits, "sockets", config.sockets),
+        config.memory_mb = get_or<std::size_t>(limits, "memory_mb", config.memory_mb);
+    if (const auto text = get_or<std::string>(json, "operator", ""); !text.empty())
+        config.operators = read_address(text, "operator");
     if (json.contains("peer_listen")) config.peer_listen = get_endpoint<Udp>(json, "peer_listen");
     if (json.contains("peers_all")) config.peers_all = get_endpoint<Udp>(json, "peers_all");
     for (const std::string& peer : get_or<std::vector<std::string>>(json, "peers", {}))
@@ -152,6 +155,10 @@
     return config;
 }
 
+Tcp::endpoint read_address(const std::string& text, const std::string& key) {
+    return endpoint<Tcp>(text, key);
+}
+
 MemberList read_members(std::string_view json) { return members(read_object(json)); }
 
 }  // namespace kestrelhall::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -43,6 +43,8 @@
     Tcp::endpoint discovery;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
+    std::size_t memory_mb = 192;
+    std::optional<Tcp::endpoint> operators;  // where they call; none: nowhere
     std::optional<Udp::endpoint> peer_listen;
     std::vector<Udp::endpoint> peers;
     std::optional<Udp::endpoint> peers_all;
@@ -56,6 +58,8 @@
 };
 
 Config read_config(std::string_view json);
+// ADDRESS:PORT; throws ConfigError naming the key.
+Tcp::endpoint read_address(const std::string& text, const std::string& key);
 // Discovery's form of a list; throws ConfigError.
 MemberList read_members(std::string_view json);
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -103,6 +103,7 @@
                           [self = shared_from_this(), answer = answer_](error_code failed, std::size_t) {
                               if (!self->owner_) return;
                               self->answer_.reset();
+                              self->leave(*self->owner_, !failed);
                               if (failed || !answer->keep_alive()) return self->finish();
                               self->next();
                           });
@@ -118,6 +119,7 @@
             owner->held_.erase(id_);
             owner->callbacks_.gone(id_);
         }
+        leave(*owner, false);
         owner->closed(shared_from_this());
     }
 
@@ -181,6 +183,11 @@
         owner_->callbacks_.arrived(std::move(*arrival));
     }
 
+    // The request that it has here, if any, is at its end.
+    void leave(Front& owner, bool whole) {
+        if (id_ != 0) owner.callbacks_.left(std::exchange(id_, 0), whole);
+    }
+
     void reject() {
         keep_ = false;
         answer(plain(http::status::bad_request));
@@ -243,6 +250,7 @@
 
 Front::~Front() {
     callbacks_.gone = [](RequestId) {};
+    callbacks_.left = [](RequestId, bool) {};
     callbacks_.drained = nullptr;
     for (const ClientPtr& client : std::exchange(clients_, {})) client->close();
 }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -32,6 +32,8 @@
     struct Callbacks {
         std::function<void(Arrival)> arrived;
         std::function<void(RequestId)> gone;  // its client has closed the connection
+        std::function<void(RequestId, bool whole)>
+            left;                       // once, after all: whether its answer went out whole
         std::function<void()> drained;        // after drain(): no client is left
     };
 
--- /dev/null
+++ b/src/net/operator.hpp
@@ -0,0 +1,47 @@
+// Where operators call: one HTTP call to a connection, answered at once whatever the traffic does.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "net/config.hpp"
+
+namespace kestrelhall::net {
+
+class OperatorListener {
+public:
+    // Callers at one time, out of the sidecar's own reserve of descriptors.
+    static constexpr std::size_t kCallers = 8;
+
+    struct Callbacks {
+        std::function<bool()> ready;
+        std::function<std::string()> metrics;  // as JSON
+    };
+
+    // Listens at once; throws boost::system::system_error where it can't.
+    OperatorListener(boost::asio::io_context& io, const Tcp::endpoint& listen, Callbacks callbacks);
+    ~OperatorListener();
+
+    Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    std::size_t callers() const { return calls_.size(); }
+
+private:
+    class Call;
+    using CallPtr = std::shared_ptr<Call>;
+
+    void accept();
+    void make_room();
+
+    boost::asio::io_context& io_;
+    Tcp::acceptor acceptor_;
+    Callbacks callbacks_;
+    boost::asio::steady_timer timer_;  // of the next try to accept
+    std::list<CallPtr> calls_;         // the longest here first
+};
+
+}  // namespace kestrelhall::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -25,6 +25,7 @@
 
 constexpr Millis kIdleMargin = 0.07;  // of idle-close-ms: closed by us before the server does
 constexpr Millis kProbeTimeout = 250;
+constexpr Millis kTwinLook = 50;    // between looks for another process of this sidecar
 constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 constexpr Millis kLastCall = 3500;  // after which a drain ends whatever is open
 
@@ -49,7 +50,17 @@
       balancer_(config_.site.settings, config_.seed),
       timer_(io),
       upstream_(io, {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets)}),
+      metrics_(config_.site.classes),
       last_call_(io) {
+    if (config_.operators) {
+        try {
+            operators_.emplace(io, *config_.operators,
+                               OperatorListener::Callbacks{[this] { return ready(); },
+                                                           [this] { return render(metrics()); }});
+        } catch (const boost::system::system_error& error) {
+            throw ConfigError("'operator' can't be listened on: " + error.code().message());
+        }
+    }
     const bool asked = config_.site.settings.list_on_request;
     discovery_.emplace(io, config_.discovery, config_.known.version, !asked,
                        Discovery::Callbacks{[this](MemberList changes) {
@@ -67,14 +78,38 @@
     give(Started{});
     list(ListKind::saved, config_.known);
     if (!asked) discovery_->watch(true);
-    front_.emplace(io, config_.listen, half(config_.sockets),
+    open_front();
+}
+
+void Sidecar::open_front() {
+    front_.emplace(io_, config_.listen, half(config_.sockets),
                    Front::Callbacks{[this](Front::Arrival arrival) { arrived(std::move(arrival)); },
                                     [this](RequestId id) { gone(id); },
+                                    [this](RequestId id, bool whole) {
+                                        const auto flight = flights_.find(id);
+                                        if (flight == flights_.end()) return;
+                                        metrics_.ended(flight->second.class_index,
+                                                       whole ? flight->second.ending : Ending::failed);
+                                        flights_.erase(flight);
+                                    },
                                     [this] {
                                         if (drained_) std::exchange(drained_, nullptr)();
                                     }});
 }
 
+std::optional<Tcp::endpoint> Sidecar::operator_address() const {
+    return operators_ ? std::optional(operators_->address()) : std::nullopt;
+}
+
+Metrics Sidecar::metrics() const {
+    Metrics metrics = metrics_;
+    metrics.attempts = upstream_.stats().attempts;
+    metrics.in_flight = flights_.size();
+    metrics.known = listed_;
+    metrics.excluded = balancer_.held().avoided;
+    return metrics;
+}
+
 void Sidecar::reconfigure(const Config& config) {
     if (config.discovery == config_.discovery) return;
     log_line("discovery has moved to " + config.discovery.address().to_string() + ":" +
@@ -197,10 +232,15 @@
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.ended) return;
     at->second.ended = true;
-    front_->answer(id, std::move(answer));
+    give_answer(id, std::move(answer));
     forget_request(id);
 }
 
+void Sidecar::give_answer(RequestId id, Front::Answer answer) {
+    flights_.at(id).ending = ending_of(answer.result_int());
+    front_->answer(id, std::move(answer));
+}
+
 void Sidecar::arrived(Front::Arrival arrival) {
     RequestArrived event;
     event.id = arrival.id;
@@ -216,6 +256,7 @@
     event.time_left = arrival.time_left;
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
+    flights_[arrival.id].class_index = event.class_index;
     Request& request = requests_[arrival.id];
     request.message = std::move(arrival.message);
     request.deadline = clock_.now() + arrival.time_left;
@@ -248,7 +289,7 @@
         copy_end_to_end(made, response);
         made.body() = std::move(response.body());
         event.request_ended = r.ended = true;
-        front_->answer(id, std::move(made));
+        give_answer(id, std::move(made));
     }
     forget_request(id);
     if (const auto held = servers_.find(server); held != servers_.end()) --held->second.out;
@@ -261,6 +302,7 @@
     if (!config_.may_probe || at == servers_.end() || !at->second.listed)
         return give(ProbeEnded{server, Outcome::superseded, 0});
     Upstream::Request ping;
+    ping.attempt = false;
     ping.message.method(http::verb::get);
     ping.message.target("/ping");
     ping.message.set(http::field::host, at->second.name);
@@ -300,6 +342,8 @@
     std::vector<ServerId> ids;
     for (const auto& [id, server] : servers_) ids.push_back(id);
     for (const ServerId id : ids) forget_server(id);
+    listed_ = static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [](const auto& s) { return s.second.listed; }));
 }
 
 void Sidecar::forget_request(RequestId id) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -19,6 +19,8 @@
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/front.hpp"
+#include "net/metrics.hpp"
+#include "net/operator.hpp"
 #include "net/peers.hpp"
 #include "net/upstream.hpp"
 
@@ -36,6 +38,10 @@
     void drain(std::function<void()> done);
 
     Tcp::endpoint address() const { return front_->address(); }
+    // Where operators call, if anywhere.
+    std::optional<Tcp::endpoint> operator_address() const;
+    bool ready() const { return front_ && listed_ > 0 && !drained_; }
+    Metrics metrics() const;
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
 
@@ -60,6 +66,11 @@
         std::size_t out = 0;
         bool listed = false;
     };
+    // Kept from when a request is taken until its answer has gone out, or can't.
+    struct Flight {
+        std::uint32_t class_index = 0;
+        Ending ending = Ending::failed;
+    };
     struct AttemptLimit {
         RequestId request;
         std::uint32_t attempt;
@@ -81,11 +92,13 @@
     void carry_out(const Send& send);
     void carry_out(const Cancel& cancel);
     void answer(RequestId id, Front::Answer answer);
+    void give_answer(RequestId id, Front::Answer answer);
 
     void arrived(Front::Arrival arrival);
     void gone(RequestId id);
     void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
     void probe(ServerId server);
+    void open_front();
 
     ServerId server_id(const std::string& name);
     void list(ListKind kind, const MemberList& members);
@@ -113,6 +126,10 @@
     Upstream upstream_;
     std::optional<Discovery> discovery_;
     std::optional<Peers> peers_;
+    std::optional<OperatorListener> operators_;
+    std::size_t listed_ = 0;
+    Metrics metrics_;
+    std::unordered_map<RequestId, Flight> flights_;
     std::optional<Front> front_;
     boost::asio::steady_timer last_call_;  // of a drain
     std::function<void()> drained_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -36,8 +36,13 @@
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(Upstream& owner, ServerId server_, std::uint64_t life_)
-        : server(server_), life(life_), owner_(&owner), socket_(owner.io_), timer_(owner.io_) {
-        ++owner_->stats_.open;
+        : server(server_),
+          life(life_),
+          owner_(&owner),
+          stats_(owner.stats_),
+          socket_(owner.io_),
+          timer_(owner.io_) {
+        ++stats_->open;
     }
     ~Connection() { close(); }
 
@@ -50,7 +55,7 @@
             });
             return;
         }
-        ++owner_->stats_.opened;
+        ++stats_->opened;
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (failed || !self->exchange_) return self->fail(false);
             self->connected_ = true;
@@ -95,7 +100,7 @@
 
     void close() {
         if (!owner_) return;
-        --owner_->stats_.open;
+        --stats_->open;
         owner_->remove(*this);
         owner_ = nullptr;
         error_code ignored;
@@ -133,6 +138,7 @@
             [self = shared_from_this(), request = exchange_->request](error_code failed, std::size_t) {
                 self->writing_ = false;
                 self->written_ = !failed;
+                if (!failed && request->attempt) ++self->stats_->attempts;
                 if (failed || self->broken_) self->fail(!failed);
             });
     }
@@ -200,6 +206,7 @@
     }
 
     Upstream* owner_;  // none: closed
+    const std::shared_ptr<Stats> stats_;
     Tcp::socket socket_;
     asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
@@ -252,7 +259,7 @@
 
 // At the bound, the connection that has been idle longest makes room.
 bool Upstream::make_room() {
-    if (stats_.open < limits_.connections) return true;
+    if (stats_->open < limits_.connections) return true;
     ConnectionPtr oldest;
     for (const auto& [id, server] : servers_)
         if (!server.idle.empty() && (!oldest || server.idle.front()->idle_since() < oldest->idle_since()))
@@ -261,6 +268,12 @@
     return oldest != nullptr;
 }
 
+void Upstream::limit_connections(std::size_t connections) {
+    limits_.connections = connections;
+    while (stats_->open > limits_.connections && make_room()) {
+    }
+}
+
 ExchangeId Upstream::start(ServerId id, Request request, Done done) {
     const ExchangeId exchange = next_exchange_++;
     const auto server = servers_.find(id);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -23,6 +23,7 @@
     struct Request {
         boost::beast::http::request<boost::beast::http::span_body<const char>> message;
         std::shared_ptr<const void> keep;
+        bool attempt = true;  // not a probe
     };
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
     // Called once, never from within start(); the response is whole where the outcome is `completed`.
@@ -48,8 +49,11 @@
 
     struct Stats {
         std::size_t open = 0, opened = 0;
+        std::uint64_t attempts = 0;  // written whole
     };
-    const Stats& stats() const { return stats_; }
+    const Stats& stats() const { return *stats_; }
+    // Those idle longest make room at once, the others as they end.
+    void limit_connections(std::size_t connections);
 
 private:
     class Connection;
@@ -74,7 +78,7 @@
     std::unordered_map<ExchangeId, ConnectionPtr> exchanges_;
     ExchangeId next_exchange_ = 1;
     std::uint64_t next_life_ = 1;
-    Stats stats_;
+    std::shared_ptr<Stats> stats_ = std::make_shared<Stats>();
 };
 
 }  // namespace kestrelhall::net
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -93,6 +93,17 @@
     }
 };
 
+// Listed servers that get nothing now: leaving, out of the pool, or in a lost zone.
+inline std::size_t avoided(const Servers& servers, const std::map<ZoneId, Loss>& lost, Millis now, int enough,
+                           Millis length) {
+    return static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](const auto& entry) {
+        const Server& s = entry.second;
+        const auto loss = lost.find(s.info.zone);
+        return s.listed && (s.info.phase != Phase::on || s.standing != Standing::live ||
+                            (loss != lost.end() && loss->second.covers(s.info, now, enough, length)));
+    }));
+}
+
 struct Attempt {
     ServerInfo to;
     Millis sent_at = 0;
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -128,6 +128,7 @@
         socket_.connect(address);
         read();
     }
+    ~TestClient() { state_->live = false; }  // what is queued for it by then comes to nothing
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
     void close() { socket_.close(); }
 
@@ -139,7 +140,7 @@
         state_->parser.emplace();
         http::async_read(socket_, state_->buffer, *state_->parser,
                          [this, s = state_](error_code failed, std::size_t) {
-                             if (failed == asio::error::operation_aborted) return;
+                             if (!s->live || failed == asio::error::operation_aborted) return;
                              if (failed) {
                                  ended = true;
                                  return;
@@ -151,6 +152,7 @@
     struct State {
         boost::beast::flat_buffer buffer;
         std::optional<http::response_parser<http::string_body>> parser;
+        bool live = true;
     };
     Tcp::socket socket_;
     std::shared_ptr<State> state_ = std::make_shared<State>();
@@ -212,6 +214,11 @@
         if (known.empty()) known = {{"s-a", a.address()}, {"s-b", b.address()}};
         sidecar.emplace(io, read_config(config_json(agent.address(), list_json(41, true, known), sockets)));
     }
+    void start_with_operators(const std::vector<Listed>& known, const std::string& sockets = "1024") {
+        Config config = read_config(config_json(agent.address(), list_json(41, true, known), sockets));
+        config.operators = any_port;
+        sidecar.emplace(io, std::move(config));
+    }
     void start_with_a() { start({{"s-a", a.address()}}); }
     TestClient& client() { return clients.emplace_back(io, sidecar->address()); }
     void until(const std::function<bool()>& reached) { run_until(io, reached); }
--- /dev/null
+++ b/tests/operator_test.cpp
@@ -0,0 +1,185 @@
+// Where operators call, and whether the figures there are those of what happened.
+#include <nlohmann/json.hpp>
+
+#include "net_rig.hpp"
+
+namespace kestrelhall::net::test {
+namespace {
+
+using Json = nlohmann::json;
+
+struct Operators : NetRig {
+    void start_both() { start_with_operators({{"s-a", a.address()}, {"s-b", b.address()}}); }
+    TestClient& caller() { return clients.emplace_back(io, *sidecar->operator_address()); }
+    TestClient::Answer call(const std::string& bytes) {
+        TestClient& c = caller();
+        c.send(bytes);
+        until([&] { return c.ended; });
+        return c.answers.empty() ? TestClient::Answer{} : c.answers.front();
+    }
+    TestClient::Answer get(const std::string& path) {
+        return call("GET " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+    }
+    Json figures() { return Json::parse(get("/metrics").body()); }
+    // Of one class, or of all.
+    int sum(const Json& figures, const std::string& ending, const std::string& of = "") {
+        int all = 0;
+        for (const auto& [name, counts] : figures["requests"].items())
+            if (of.empty() || of == name) all += counts[ending].get<int>();
+        return all;
+    }
+};
+
+TEST_F(Operators, NothingListensWhereNoneIsConfigured) {
+    start();
+    EXPECT_FALSE(sidecar->operator_address());
+}
+
+TEST_F(Operators, AnswersACallAndEndsTheConnection) {
+    start_both();
+    EXPECT_EQ(get("/ready").result_int(), 200u);
+    EXPECT_EQ(get("/ready?now").result_int(), 200u);
+    const auto metrics = get("/metrics");
+    EXPECT_EQ(metrics.result_int(), 200u);
+    EXPECT_FALSE(metrics.keep_alive());
+    EXPECT_EQ(metrics["Content-Type"], "application/json");
+    EXPECT_EQ(Json::parse(metrics.body()), Json::parse(R"({"requests":{
+        "listen":{"served":0,"refused":0,"failed":0},"deposit":{"served":0,"refused":0,"failed":0},
+        "annotate":{"served":0,"refused":0,"failed":0}},
+        "attempts":0,"in_flight":0,"scan_servers_known":2,"scan_servers_excluded":0})"));
+}
+
+TEST_F(Operators, WhatIsNoCallHasItsAnswerAndAnEnd) {
+    start_both();
+    EXPECT_EQ(get("/").result_int(), 404u);
+    EXPECT_EQ(get("/metrics/x").result_int(), 404u);
+    const auto posted = call("POST /ready HTTP/1.1\r\nHost: ops\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_EQ(posted.result_int(), 405u);
+    EXPECT_EQ(posted["Allow"], "GET");
+    EXPECT_EQ(call("nonsense\r\n\r\n").result_int(), 400u);
+    EXPECT_EQ(get("/" + std::string(10000, 'x')).result_int(), 431u);
+    EXPECT_EQ(get("/ready").result_int(), 200u);
+}
+
+TEST_F(Operators, NotReadyWithoutAListNorWhileItDrains) {
+    start_with_operators({{"s-a", a.address(), "Gone"}});
+    EXPECT_EQ(get("/ready").result_int(), 503u);
+    until([&] { return watched_from("41"); });
+    tell(list_json(42, false, {{"s-a", a.address()}}));
+    until([&] { return watched_from("42"); });
+    EXPECT_EQ(get("/ready").result_int(), 200u);
+    a.script = silence;
+    TestClient& held = client();
+    held.send(request("listen", "id-1"));
+    until([&] { return a.requests.size() == 1; });
+    sidecar->drain([] {});
+    EXPECT_EQ(get("/ready").result_int(), 503u);
+    EXPECT_EQ(figures()["in_flight"], 1);
+}
+
+// Peers that hold connections with half a call, and clients that hold all descriptors meant for them.
+TEST_F(Operators, HoldersAndAFullHouseKeepNobodyWaiting) {
+    start_with_operators({{"s-a", a.address()}}, "40");  // eight clients at a time
+    a.script = silence;
+    for (int i = 0; i < 8; ++i) client().send(request("listen", "id-" + std::to_string(i)));
+    until([&] { return a.requests.size() == 8; });
+    std::vector<TestClient*> holders;
+    for (int i = 0; i < 100; ++i) {
+        holders.push_back(&caller());
+        if (i % 2) holders.back()->send("GET /metrics HT");
+    }
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_EQ(get("/ready").result_int(), 200u);
+    EXPECT_EQ(figures()["in_flight"], 8);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(1));
+    EXPECT_TRUE(holders.front()->ended) << "the longest holder made room";
+    EXPECT_FALSE(holders.back()->ended);
+}
+
+// Every request taken ends as one of the three, whatever happened to its tries.
+TEST_F(Operators, EachEndingIsCountedOnce) {
+    start_both();
+    const Reply turned_away{response("503 Full", "", "Not-Started: 1\r\n")};
+    int turn = 0;
+    const auto first_then = [&](const Reply& first) {
+        turn = 0;
+        a.script = b.script = [&, first](const auto&) {
+            return turn++ == 0 ? first : Reply{response("200 OK", "served")};
+        };
+    };
+    const auto always = [&](const Reply& reply) {
+        a.script = b.script = [reply](const auto&) { return reply; };
+    };
+    always({response("200 OK", "served")});
+    EXPECT_EQ(ask(request("listen", "1")).result_int(), 200u);
+    first_then(turned_away);  // a retry: two attempts
+    EXPECT_EQ(ask(request("deposit", "2")).result_int(), 200u);
+    first_then({"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true});  // broken, tried anew
+    EXPECT_EQ(ask(request("listen", "3")).result_int(), 200u);
+    always({response("500 Oops")});
+    EXPECT_EQ(ask(request("deposit", "4")).result_int(), 502u);
+    always({response("404 Who")});
+    EXPECT_EQ(ask(request("listen", "5")).result_int(), 404u);
+    always({"", true});
+    EXPECT_EQ(ask(request("deposit", "6")).result_int(), 502u);
+    const std::size_t before = arrived();
+    EXPECT_EQ(before, 8u);
+    always(turned_away);
+    EXPECT_EQ(ask(request("annotate", "7")).result_int(), 503u);
+    always({});
+    EXPECT_EQ(ask(request("deposit", "8", 60)).result_int(), 504u);
+    TestClient& leaver = client();  // gives up on its own
+    leaver.send(request("listen", "9"));
+    until([&] { return figures()["in_flight"] == 1; });
+    leaver.close();
+    until([&] { return figures()["in_flight"] == 0; });
+    const Json all = figures();
+    EXPECT_EQ(sum(all, "served"), 3);
+    EXPECT_EQ(sum(all, "served", "deposit"), 1);
+    EXPECT_EQ(sum(all, "refused"), 1);
+    EXPECT_EQ(sum(all, "refused", "annotate"), 1);
+    EXPECT_EQ(sum(all, "failed"), 5);
+    EXPECT_EQ(sum(all, "failed", "deposit"), 3);
+    EXPECT_EQ(all["attempts"], arrived());
+}
+
+TEST_F(Operators, WhoIsNoClientCountsNothing) {
+    start_both();
+    EXPECT_EQ(ask("nonsense\r\n\r\n").result_int(), 400u);
+    EXPECT_EQ(ask(request("bequest", "1")).result_int(), 404u);
+    EXPECT_EQ(ask("PUT /listen HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 9\r\n\r\n").result_int(),
+              400u);
+    EXPECT_EQ(ask("GET /_health HTTP/1.1\r\n\r\n").result_int(), 200u);
+    const Json all = figures();
+    EXPECT_EQ(sum(all, "served") + sum(all, "refused") + sum(all, "failed"), 0);
+    EXPECT_EQ(all["in_flight"], 0);
+    EXPECT_EQ(all["attempts"], 0);
+}
+
+TEST_F(Operators, ExcludedAreListedServersThatAreAvoided) {
+    b.script = silence;  // while the other one answers
+    start_both();
+    for (int i = 0; figures()["scan_servers_excluded"] != 1; ++i) {
+        ASSERT_LT(i, 20);
+        std::vector<TestClient*> batch;
+        for (int j = 0; j < 6; ++j) {
+            batch.push_back(&client());
+            batch.back()->send(request("listen", std::to_string(i) + "-" + std::to_string(j), 60));
+        }
+        until([&] {
+            return std::all_of(batch.begin(), batch.end(), [](auto* c) { return !c->answers.empty(); });
+        });
+    }
+    until([&] { return watched_from("41"); });
+    tell(list_json(42, false, {{"s-b", b.address(), "Gone"}}));
+    until([&] { return watched_from("42"); });
+    EXPECT_EQ(figures()["scan_servers_known"], 1);
+    EXPECT_EQ(figures()["scan_servers_excluded"], 0);
+    tell(list_json(43, false, {{"s-a", a.address(), "Terminating"}}));
+    until([&] { return watched_from("43"); });
+    EXPECT_EQ(figures()["scan_servers_known"], 1);
+    EXPECT_EQ(figures()["scan_servers_excluded"], 1);
+}
+
+}  // namespace
+}  // namespace kestrelhall::net::test
