Upgrade: a second process shares the clients' address and the limits with the first

Design: with an operators' address configured the clients' address is bound with SO_REUSEPORT, and only once there is a list to serve from where another process lives. A one-instruction filter on the group (return 1) leads every new connection to the socket that listened last, so the accept queue of the one that leaves is empty when it closes: it accepts for 500 ms after SIGTERM, then to the end of its queue. Each process holds a kernel lock on a byte of one file in $TMPDIR, gone with its holder however it died, and looks every 50 ms for another's: while there is one, clients, server connections and the module's part of what all sidecars share out are halved, those idle longest making room at once. Not taken: passing the listener over a Unix socket. It needs both processes to agree and a fallback when one dies half way; the filter stays right whichever of the two dies. A pid file: stale after a kill.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -134,8 +134,12 @@
     std::uint32_t from = 0;
     std::vector<std::uint8_t> bytes{};
 };
+// Another process of this sidecar lives, or no longer does: what all sidecars share out has one more taker.
+struct Doubled {
+    bool doubled = false;
+};
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage>;
+                           TimerFired, ProbeEnded, PeerMessage, Doubled>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no Probe, CloseIdle, TellPeer and
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -90,6 +90,7 @@
     double top_worth = 1e-9;
     Millis least_aim = kRateMemory;
     double room = kRoomAtStart;   // attempts that may be outstanding
+    double processes = 1;         // of this sidecar
     std::vector<RequestId> held;  // may name finished ones
     std::vector<RequestId> done;  // ended during this event
     std::vector<Server*> fleet;   // listed as on
@@ -432,7 +433,7 @@
         const double asked = kLeast * kAimShare * wanted.at_time(now, kRateMemory) / kRateMemory;
         return std::max(asked, our_part() * std::max(1.0, warm_live));
     }
-    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)); }
+    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)) / processes; }
 
     // Worth: the class worth most may fill the room, the others leave it part of theirs; excess has the
     // common part and less the later answers come. A part of less than one attempt bounds the mean over time.
@@ -646,6 +647,8 @@
             place(it->second);
     }
 
+    void on(const Doubled& e) { processes = e.doubled ? 2 : 1; }
+
     void on(const auto&) {}  // probes and peers: not used
 };
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,5 +1,8 @@
 #include "net/front.hpp"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,6 +26,15 @@
 constexpr Millis kLongestRead = 2500;   // of one request, from its first byte
 constexpr Millis kFirstRequest = 2200;  // from connecting, or whoever it is has come for nothing
 
+// New connections go to the second of the sockets that share the address: the one that listened last, as the
+// first one's leaving makes it the first again. Where there is no second, or no steering, the kernel spreads
+// them by itself.
+void steer(int listener) {
+    sock_filter second[] = {BPF_STMT(BPF_RET | BPF_K, 1)};
+    const sock_fprog program{1, second};
+    ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
+}
+
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
 
 Front::Answer plain(http::status status) {
@@ -235,16 +247,23 @@
     bool keep_ = true, waiting_ = false, readable_ = false;
 };
 
-Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks)
+Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, bool shared,
+             Callbacks callbacks)
     : io_(io),
-      acceptor_(io, listen, true),
-      address_(acceptor_.local_endpoint()),
+      acceptor_(io, listen.protocol()),
       most_clients_(clients),
       callbacks_(std::move(callbacks)),
       timer_(io),
       drain_timer_(io) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    error_code alone;  // where it can't be shared, binding tells
+    if (shared)
+        acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true), alone);
+    acceptor_.bind(listen);
+    address_ = acceptor_.local_endpoint();
     acceptor_.non_blocking(true);
     acceptor_.listen(asio::socket_base::max_listen_connections);
+    if (shared) steer(acceptor_.native_handle());
     accept();
 }
 
@@ -278,6 +297,15 @@
     client->begin();
 }
 
+void Front::limit_clients(std::size_t clients) {
+    most_clients_ = clients;
+    while (clients_.size() > most_clients_) {
+        const std::size_t before = clients_.size();
+        make_room();
+        if (clients_.size() == before) return;
+    }
+}
+
 // At the bound, the client that has been idle longest makes room; where none is, accepting waits for one.
 bool Front::make_room() {
     if (clients_.size() < most_clients_) return true;
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -34,11 +34,13 @@
         std::function<void(RequestId)> gone;  // its client has closed the connection
         std::function<void(RequestId, bool whole)>
             left;                       // once, after all: whether its answer went out whole
-        std::function<void()> drained;        // after drain(): no client is left
+        std::function<void()> drained;  // after drain(): no client is left
     };
 
-    // Listens at once; throws boost::system::system_error where it can't.
-    Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks);
+    // Listens at once; throws boost::system::system_error where it can't. `shared`: with another process of
+    // this sidecar, where there is one; new connections then go to the one that listened last.
+    Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, bool shared,
+          Callbacks callbacks);
     ~Front();
 
     // The final answer; the first one counts.
@@ -46,6 +48,9 @@
     // Goes on taking requests for that long, closing each connection with its answer, then only finishes.
     void drain(Millis accepting);
     Tcp::endpoint address() const { return address_; }
+    bool draining() const { return draining_; }
+    // Those idle longest make room at once, the others as they end.
+    void limit_clients(std::size_t clients);
 
 private:
     class Client;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <cstdio>
+#include <filesystem>
 #include <utility>
 
 #include "net/log.hpp"
@@ -50,6 +51,7 @@
       balancer_(config_.site.settings, config_.seed),
       timer_(io),
       upstream_(io, {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets)}),
+      twin_timer_(io),
       metrics_(config_.site.classes),
       last_call_(io) {
     if (config_.operators) {
@@ -60,6 +62,9 @@
         } catch (const boost::system::system_error& error) {
             throw ConfigError("'operator' can't be listened on: " + error.code().message());
         }
+        twin_.emplace(std::filesystem::temp_directory_path().string(),
+                      config_.listen.address().to_string() + "-" + std::to_string(config_.listen.port()));
+        watch_twin();
     }
     const bool asked = config_.site.settings.list_on_request;
     discovery_.emplace(io, config_.discovery, config_.known.version, !asked,
@@ -78,11 +83,12 @@
     give(Started{});
     list(ListKind::saved, config_.known);
     if (!asked) discovery_->watch(true);
-    open_front();
+    // Beside another process clients come here as soon as we listen: not before there is a server to send to.
+    if (!halved_ || listed_ > 0) open_front();
 }
 
 void Sidecar::open_front() {
-    front_.emplace(io_, config_.listen, half(config_.sockets),
+    front_.emplace(io_, config_.listen, half(sockets()), config_.operators.has_value(),
                    Front::Callbacks{[this](Front::Arrival arrival) { arrived(std::move(arrival)); },
                                     [this](RequestId id) { gone(id); },
                                     [this](RequestId id, bool whole) {
@@ -97,6 +103,24 @@
                                     }});
 }
 
+// Two processes of one sidecar hold to its limits together: each to half of them.
+std::size_t Sidecar::sockets() const { return halved_ ? config_.sockets / 2 : config_.sockets; }
+
+void Sidecar::watch_twin() {
+    if (const bool other = twin_->other_lives(); other != halved_) {
+        halved_ = other;
+        log_line(other ? "another process of this sidecar lives: half of the limits each"
+                       : "the only process of this sidecar: all of the limits");
+        upstream_.limit_connections(half(sockets()));
+        if (front_) front_->limit_clients(half(sockets()));
+        give(Doubled{halved_});
+    }
+    twin_timer_.expires_after(span(kTwinLook));
+    twin_timer_.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) watch_twin();
+    });
+}
+
 std::optional<Tcp::endpoint> Sidecar::operator_address() const {
     return operators_ ? std::optional(operators_->address()) : std::nullopt;
 }
@@ -121,6 +145,7 @@
 void Sidecar::drain(std::function<void()> done) {
     if (drained_) return;
     drained_ = std::move(done);
+    if (!front_) return std::exchange(drained_, nullptr)();
     front_->drain(kAccepting);
     last_call_.expires_after(span(kLastCall));
     last_call_.async_wait([this](boost::system::error_code cancelled) {
@@ -344,6 +369,7 @@
     for (const ServerId id : ids) forget_server(id);
     listed_ = static_cast<std::size_t>(
         std::count_if(servers_.begin(), servers_.end(), [](const auto& s) { return s.second.listed; }));
+    if (!front_ && listed_ > 0 && kind != ListKind::saved) open_front();
 }
 
 void Sidecar::forget_request(RequestId id) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -22,13 +22,15 @@
 #include "net/metrics.hpp"
 #include "net/operator.hpp"
 #include "net/peers.hpp"
+#include "net/twin.hpp"
 #include "net/upstream.hpp"
 
 namespace kestrelhall::net {
 
 class Sidecar {
 public:
-    // Ready when it returns. Throws where the settings make no sense or an address can't be listened on.
+    // Ready when it returns, or, beside another process of this sidecar, once there is a list to serve from.
+    // Throws where the settings make no sense or an address can't be listened on.
     Sidecar(boost::asio::io_context& io, Config config);
 
     // A configuration that replaces the one it was started with: discovery may have moved. The rest stays.
@@ -44,6 +46,7 @@
     Metrics metrics() const;
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
+    bool halved() const { return halved_; }
 
 private:
     // Kept until the request has its answer and its attempts have ended.
@@ -99,6 +102,8 @@
     void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
     void probe(ServerId server);
     void open_front();
+    void watch_twin();
+    std::size_t sockets() const;
 
     ServerId server_id(const std::string& name);
     void list(ListKind kind, const MemberList& members);
@@ -127,6 +132,9 @@
     std::optional<Discovery> discovery_;
     std::optional<Peers> peers_;
     std::optional<OperatorListener> operators_;
+    std::optional<Twin> twin_;
+    boost::asio::steady_timer twin_timer_;
+    bool halved_ = false;  // another process of this sidecar has the other half
     std::size_t listed_ = 0;
     Metrics metrics_;
     std::unordered_map<RequestId, Flight> flights_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -70,7 +70,9 @@
         const pid_t child = ::fork();
         if (child != 0) return child;
         ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+        ::setenv("TMPDIR", folder.c_str(), 1);
         if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
+        for (int file = 3; file < 1024; ++file) ::close(file);  // the test's connections are its own
         ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
         ::_exit(127);
     }
@@ -90,6 +92,150 @@
     EXPECT_FALSE(std::getline(log, more)) << more;
 }
 
+// Two processes of one sidecar, beside clients that ask without a pause.
+struct Upgrade : Program {
+    asio::io_context io;
+    ScriptedServer server{io, [](const auto&) { return Reply{response("200 OK", "served")}; }};
+    ScriptedServer agent{io, [](const auto&) { return Reply{}; }};
+    Tcp::endpoint listen = free_address();
+    std::vector<pid_t> children;
+
+    ~Upgrade() override {
+        for (const pid_t child : children)
+            if (child > 0) ::kill(child, SIGKILL), ::waitpid(child, nullptr, 0);
+    }
+    Tcp::endpoint free_address() { return Tcp::acceptor(io, any_port).local_endpoint(); }
+    struct Process {
+        std::size_t index;
+        Tcp::endpoint operators;
+    };
+    Process begin() {
+        const Tcp::endpoint operators = free_address();
+        const auto text = [](const Tcp::endpoint& at) { return "127.0.0.1:" + std::to_string(at.port()); };
+        children.push_back(
+            start(replaced(config_json(agent.address(), list_json(1, true, {{"s-a", server.address()}}),
+                                       "1024", text(listen)),
+                           "\"future\":[1]", "\"operator\":\"" + text(operators) + "\"")));
+        const Process process{children.size() - 1, operators};
+        run_until(io, [&] { return status(process, "/ready") == 200; });
+        return process;
+    }
+    TestClient::Answer call(const Process& process, const std::string& path) {
+        try {
+            TestClient caller(io, process.operators);
+            caller.send("GET " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+            run_until(io, [&] { return caller.ended; });
+            return caller.answers.empty() ? TestClient::Answer{} : caller.answers.front();
+        } catch (const boost::system::system_error&) {
+            return {};  // not up, or no more
+        }
+    }
+    unsigned status(const Process& process, const std::string& path) {
+        const auto answer = call(process, path);
+        return answer[http::field::server].empty() && answer.body().empty() ? 0 : answer.result_int();
+    }
+    std::string metrics(const Process& process) { return call(process, "/metrics").body(); }
+    bool ended(const Process& process) {
+        pid_t& child = children[process.index];
+        if (child > 0 && ::waitpid(child, nullptr, WNOHANG) == child) child = 0;
+        return child == 0;
+    }
+    void end(const Process& process, int signal) {
+        ::kill(children[process.index], signal);
+        run_until(io, [&] { return (signal == SIGKILL || (turn(), true)) && ended(process); });
+    }
+
+    // One request each is always out; `lost` counts connections that ended without the answer owed.
+    std::list<TestClient> asking;
+    std::size_t asked = 0, answered = 0, lost = 0;
+    void turn() {
+        for (auto c = asking.begin(); c != asking.end();) {
+            if (c->answers.empty() && !c->ended) {
+                ++c;
+                continue;
+            }
+            if (c->answers.empty())
+                ++lost;
+            else
+                answered += c->answers.front().result_int() == 200;
+            if (!c->answers.empty() && c->answers.front().keep_alive() && asked % 50 != 0) {
+                c->answers.clear();
+                c->send(request("deposit", "id-" + std::to_string(asked++)));
+                ++c;
+            } else {
+                c = asking.erase(c);
+            }
+        }
+        while (asking.size() < 6) {
+            asking.emplace_back(io, listen);
+            asking.back().send(request("deposit", "id-" + std::to_string(asked++)));
+        }
+    }
+    void serve(std::size_t more) {
+        const std::size_t enough = answered + more;
+        run_until(io, [&] { return turn(), answered >= enough; });
+    }
+    void expect_nothing_lost() {
+        EXPECT_EQ(lost, 0u);
+        EXPECT_EQ(answered, asked - asking.size());
+        EXPECT_EQ(server.requests.size() + asking.size() >= asked, true);
+    }
+};
+
+TEST_F(Upgrade, ASecondProcessTakesOverAndNothingIsLost) {
+    const Process first = begin();
+    serve(200);
+    const Process second = begin();
+    serve(200);
+    EXPECT_EQ(metrics(second).find("\"served\":0,\"refused\":0,\"failed\":0},\"annotate\""),
+              std::string::npos)
+        << "new connections go to the second: " << metrics(second);
+    end(first, SIGTERM);
+    serve(200);
+    expect_nothing_lost();
+    const Process third = begin();  // and once more
+    end(second, SIGTERM);
+    serve(100);
+    expect_nothing_lost();
+    EXPECT_EQ(status(third, "/ready"), 200u);
+}
+
+TEST_F(Upgrade, WhicheverDiesOutrightTheOtherServesInFull) {
+    const Process first = begin();
+    const Process second = begin();
+    end(second, SIGKILL);
+    asking.clear(), asked = answered = lost = 0;
+    serve(100);
+    expect_nothing_lost();
+    const Process third = begin();
+    end(first, SIGKILL);
+    asking.clear(), asked = answered = lost = 0;
+    serve(100);
+    expect_nothing_lost();
+    EXPECT_EQ(status(third, "/ready"), 200u);
+}
+
+TEST_F(Upgrade, WithoutAnOperatorAddressASecondStartFails) {
+    const std::string config = config_json(agent.address(), list_json(1, true, {{"s-a", server.address()}}),
+                                           "1024", "127.0.0.1:" + std::to_string(listen.port()));
+    children.push_back(start(config));
+    run_until(io, [&] { return !agent.requests.empty(); });
+    EXPECT_EQ(status_of(start(config)), 1);
+}
+
+TEST_F(Upgrade, AnOperatorAddressThatCannotBeHadIsSaidAtTheStart) {
+    Tcp::acceptor taken(io, any_port);
+    EXPECT_EQ(status_of(start(replaced(
+                  good, "\"future\":[1]",
+                  "\"operator\":\"127.0.0.1:" + std::to_string(taken.local_endpoint().port()) + "\""))),
+              1);
+    std::ifstream log(folder / "log");
+    std::string line;
+    std::getline(log, line);
+    EXPECT_NE(line.find("'operator'"), std::string::npos) << line;
+    EXPECT_EQ(status_of(start(replaced(good, "\"future\":[1]", "\"operator\":\"there\""))), 1);
+}
+
 TEST_F(Program, FinishesItsWorkOnSigtermAndExitsWithZero) {
     asio::io_context io;
     ScriptedServer server(io, [](const auto&) { return Reply{}; });
