--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -134,8 +134,12 @@
     std::uint32_t from = 0;
     std::vector<std::uint8_t> bytes{};
 };
+// Another process of this sidecar lives, or no longer does: what all sidecars share out has one more taker.
+struct Doubled {
+    bool doubled = false;
+};
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage>;
+                           TimerFired, ProbeEnded, PeerMessage, Doubled>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no Probe, CloseIdle, TellPeer and
@@ -195,9 +199,10 @@
     // Appends to actions. Events about unknown or finished things have no effect.
     void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
-    // Requests, servers and timers held at present: what this instance costs in memory.
+    // Requests, servers and timers held at present: what this instance costs in memory. And the listed
+    // servers that it avoids now: removed, in a lost zone, or leaving.
     struct Held {
-        std::size_t requests = 0, servers = 0, timers = 0;
+        std::size_t requests = 0, servers = 0, timers = 0, avoided = 0;
     };
     Held held() const;
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -19,14 +19,18 @@
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/front.hpp"
+#include "net/metrics.hpp"
+#include "net/operator.hpp"
 #include "net/peers.hpp"
+#include "net/twin.hpp"
 #include "net/upstream.hpp"
 
 namespace kestrelhall::net {
 
 class Sidecar {
 public:
-    // Ready when it returns. Throws where the settings make no sense or an address can't be listened on.
+    // Ready when it returns, or, beside another process of this sidecar, once there is a list to serve from.
+    // Throws where the settings make no sense or an address can't be listened on.
     Sidecar(boost::asio::io_context& io, Config config);
 
     // A configuration that replaces the one it was started with: discovery may have moved. The rest stays.
@@ -36,8 +40,13 @@
     void drain(std::function<void()> done);
 
     Tcp::endpoint address() const { return front_->address(); }
+    // Where operators call, if anywhere.
+    std::optional<Tcp::endpoint> operator_address() const;
+    bool ready() const { return front_ && listed_ > 0 && !drained_; }
+    Metrics metrics() const;
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
+    bool halved() const { return halved_; }
 
 private:
     // Kept until the request has its answer and its attempts have ended.
@@ -60,6 +69,11 @@
         std::size_t out = 0;
         bool listed = false;
     };
+    // Kept from when a request is taken until its answer has gone out, or can't.
+    struct Flight {
+        std::uint32_t class_index = 0;
+        Ending ending = Ending::failed;
+    };
     struct AttemptLimit {
         RequestId request;
         std::uint32_t attempt;
@@ -81,11 +95,15 @@
     void carry_out(const Send& send);
     void carry_out(const Cancel& cancel);
     void answer(RequestId id, Front::Answer answer);
+    void give_answer(RequestId id, Front::Answer answer);
 
     void arrived(Front::Arrival arrival);
     void gone(RequestId id);
     void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
     void probe(ServerId server);
+    void open_front();
+    void watch_twin();
+    std::size_t sockets() const;
 
     ServerId server_id(const std::string& name);
     void list(ListKind kind, const MemberList& members);
@@ -113,6 +131,13 @@
     Upstream upstream_;
     std::optional<Discovery> discovery_;
     std::optional<Peers> peers_;
+    std::optional<OperatorListener> operators_;
+    std::optional<Twin> twin_;
+    boost::asio::steady_timer twin_timer_;
+    bool halved_ = false;  // another process of this sidecar has the other half
+    std::size_t listed_ = 0;
+    Metrics metrics_;
+    std::unordered_map<RequestId, Flight> flights_;
     std::optional<Front> front_;
     boost::asio::steady_timer last_call_;  // of a drain
     std::function<void()> drained_;
