--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -107,6 +107,14 @@
     Millis effort = 0;              // expected work, 0 if not known
     bool repeat = false;            // known to be the client's retry
     std::uint32_t tenant = ~0U;     // into Settings::tenant_shares; out of range: none
+    bool unfinished = false;        // its last byte is yet to come, and time_left counts from there
+};
+struct BodyWhole {  // the last byte of one that arrived unfinished
+    RequestId id = 0;
+    Millis time_left = 0;
+};
+struct BodySpent {  // what has been sent of it is not kept any more: no other attempt can be made
+    RequestId id = 0;
 };
 struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
     RequestId id = 0;
@@ -139,7 +147,7 @@
     bool doubled = false;
 };
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage, Doubled>;
+                           TimerFired, ProbeEnded, PeerMessage, Doubled, BodyWhole, BodySpent>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no Probe, CloseIdle, TellPeer and
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -52,6 +52,7 @@
 constexpr int kLost = 3;         // outcomes out of reach, of any servers of a zone, after which it is avoided
 constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
+constexpr Millis kNever = 1e15;
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
 
 }  // namespace
@@ -107,22 +108,10 @@
 
     // ---- The rules: the only gates ----------------------------------------------------------------------
 
-    bool proves_never_ran(Outcome o) const {
-        return o == Outcome::refused_connection || o == Outcome::superseded ||
-               (o == Outcome::saturated && !settings.saturated_is_no_proof);
-    }
-
-    // Placement. A class we don't know might be bound as any of ours: it may go only where all of them may.
-    bool open_to(std::uint32_t class_index, const ServerInfo& s) const {
-        const auto open = [&](const RequestClass& c) {
-            return holds(c.zones, s.zone) && holds(c.kinds, s.kind);
-        };
-        const auto& all = settings.classes;
-        return class_index < all.size() ? open(all[class_index]) : std::all_of(all.begin(), all.end(), open);
-    }
+    bool open_to(std::uint32_t c, const ServerInfo& s) const { return is_open(settings, c, s); }
 
     bool may_send(const Request& r, Server& s) {
-        if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
+        if (r.ended || r.streaming || r.spent || now >= r.deadline) return false;  // rule 1
         if (r.attempts.size() >= settings.max_attempts) return false;
         if (!open_to(r.class_index, s.info)) return false;         // placement
         if (!s.listed || s.info.phase != Phase::on) return false;  // rule 3
@@ -501,10 +490,10 @@
         r.excess = over_share(e.tenant);
         r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
         if (!r.repeat) wanted.add(r.kind.aim, now, kRateMemory);
-        r.deadline = now + std::max(0.0, e.time_left);
+        r.deadline = e.unfinished ? kNever : now + std::max(0.0, e.time_left);
         retry_budget = std::min(retry_budget + kRetryShare, kRetryBurst);
         r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
-        set_timer(r.deadline, r.id);
+        if (!e.unfinished) set_timer(r.deadline, r.id);
         place(r);
     }
 
@@ -523,7 +512,7 @@
         if (Server* s = pick(r, admitted)) return dispatch(r, *s);
         // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
         if (r.any_out()) return;
-        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+        if (now >= r.hold_until || r.spent || r.attempts.size() >= settings.max_attempts ||
             (r.first_possible_run() && r.kind.effect == Effect::once))
             return finish(r);
         held.push_back(r.id);
@@ -545,6 +534,16 @@
         act(Send{r.id, s.info.id, r.deadline});
     }
 
+    void on(const BodyWhole& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end()) return;
+        it->second.deadline = now + std::max(0.0, e.time_left);
+        set_timer(it->second.deadline, e.id);
+    }
+    void on(const BodySpent& e) {
+        if (const auto it = requests.find(e.id); it != requests.end()) it->second.spent = true;
+    }
+
     void on(const FirstByte& e) {
         const auto it = requests.find(e.id);
         if (it != requests.end() && e.attempt < it->second.attempts.size()) it->second.streaming = true;
@@ -575,7 +574,7 @@
         a.out = false;
         count_out();
         outstanding -= !a.cold;
-        a.may_have_run = !proves_never_ran(e.outcome);
+        a.may_have_run = !proves_never_ran(e.outcome, settings);
         if (const auto at = servers.find(a.to.id); at != servers.end()) {
             book(at->second, r, a, e);
             if (!at->second.listed && at->second.outstanding == 0) {
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -23,8 +23,21 @@
 namespace {
 
 constexpr Millis kAcceptPause = 20;     // when no descriptor is to be had
-constexpr Millis kLongestRead = 2500;   // of one request, from its first byte
-constexpr Millis kFirstRequest = 2200;  // from connecting, or whoever it is has come for nothing
+constexpr Millis kLongestHead = 2500;   // from its first byte
+constexpr Millis kFirstRequest = 2400;  // of a head, from connecting, or whoever it is has come for nothing
+constexpr Millis kPause = 700;          // within a body
+constexpr double kSlowestPace = 32;     // bytes in a millisecond, of a body
+constexpr Millis kStillReader = 10000;  // an answer of which no more is read is ended
+constexpr Millis kMayClose = 2000;      // clients expect no connection to be kept for longer
+constexpr std::size_t kHeadPiece = 2 * 1024, kPiece = 16 * 1024;  // read at a time
+constexpr int kTurns = 8;                                         // before the others have theirs
+
+using Steady = std::chrono::steady_clock;
+
+bool is_line_end(const boost::beast::flat_buffer& buffer) {
+    const char first = *static_cast<const char*>(buffer.data().data());
+    return first == '\r' || first == '\n';
+}
 
 // New connections go to the second of the sockets that share the address: the one that listened last, as the
 // first one's leaving makes it the first again. Where there is no second, or no steering, the kernel spreads
@@ -69,7 +82,8 @@
 
 }  // namespace
 
-// One connection of the application: idle, sending a request, waiting for its answer, or being answered.
+// One connection of the application: idle, sending a request, waiting for its answer, or being answered. What
+// comes is read only as there is room for it, and parsed by Beast.
 class Front::Client : public std::enable_shared_from_this<Client> {
 public:
     Client(Front& owner, Tcp::socket socket) : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {
@@ -80,45 +94,68 @@
 
     // What has sent no whole request by then is ended: peers that come to send nothing, or little.
     void begin() {
-        first_by_ = std::chrono::steady_clock::now() + span(kFirstRequest);
-        next();
-        if (phase_ == Phase::idle) close_at(*first_by_);
-    }
-
-    void next() {
-        phase_ = Phase::idle;
-        since_ = std::chrono::steady_clock::now();
-        if (buffer_.size() > 0 || std::exchange(readable_, false)) return read();
-        buffer_.shrink_to_fit();
+        first_by_ = Steady::now() + span(kFirstRequest);
+        since_ = Steady::now();
+        close_at(*first_by_);
         wait_readable();
-        owner_->rested();
     }
 
-    // Idle, with nothing of a request come.
-    bool idle() {
+    // Nothing has come that we have not seen yet, but perhaps its end.
+    bool quiet() {
         char byte;
         error_code error;
-        if (phase_ != Phase::idle) return false;
         socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
         return error == asio::error::would_block || error == asio::error::eof;
     }
-    std::chrono::steady_clock::time_point since() const { return since_; }
+    // Idle, with nothing of a request come.
+    bool idle() { return phase_ == Phase::idle && buffer_.size() == 0 && quiet(); }
+    // How soon it makes room for others where there is none: those that have sent nothing yet, those idle for
+    // as long as they may expect, those that have stopped within a head, then the other idle ones; never one
+    // that is owed an answer.
+    static constexpr int kNeeded = 4;
+    int use() const {
+        if (phase_ == Phase::idle) return first_by_ ? 0 : Steady::now() - since_ >= span(kMayClose) ? 1 : 3;
+        return phase_ == Phase::head ? 2 : kNeeded;
+    }
+    Steady::time_point since() const { return since_; }
 
     void answer(Answer answer) {
         phase_ = Phase::answering;
-        request_.reset();
         answer.version(11);
-        answer.keep_alive(keep_ && !owner_->draining_);
+        answer.keep_alive(stays());
         answer.prepare_payload();
-        answer_ = std::make_shared<Answer>(std::move(answer));
-        http::async_write(socket_, *answer_,
-                          [self = shared_from_this(), answer = answer_](error_code failed, std::size_t) {
-                              if (!self->owner_) return;
-                              self->answer_.reset();
-                              self->leave(*self->owner_, !failed);
-                              if (failed || !answer->keep_alive()) return self->finish();
-                              self->next();
-                          });
+        const auto out = std::make_shared<Answer>(std::move(answer));
+        http::async_write(socket_, *out, [self = shared_from_this(), out](error_code failed, std::size_t) {
+            if (self->owner_) self->answered(!failed, out->keep_alive());
+        });
+    }
+
+    void stream(Head head, std::shared_ptr<Pipe> body) {
+        phase_ = Phase::answering;
+        pipe_ = std::move(body);
+        // Where the head can't tell the length, the end of the connection has to, and a reset that it broke.
+        until_close_ = !pipe_->length && version_ < 11;
+        head.version(11);
+        if (pipe_->length)
+            head.content_length(*pipe_->length);
+        else if (!until_close_)
+            head.chunked(true);  // would take a length away
+        keep_ = keep_ && !until_close_;
+        head.keep_alive(stays());
+        stays_ = head.keep_alive();
+        // What the kernel holds of it is bounded too, so that a slow reader's progress shows.
+        error_code ignored;
+        socket_.set_option(asio::socket_base::send_buffer_size(static_cast<int>(Pipe::kMost)), ignored);
+        const auto out = std::make_shared<http::response<http::empty_body>>(std::move(head));
+        const auto serializer = std::make_shared<http::response_serializer<http::empty_body>>(*out);
+        writing_ = true;
+        progress();
+        http::async_write_header(socket_, *serializer,
+                                 [self = shared_from_this(), out, serializer](
+                                     error_code failed, std::size_t) { self->wrote(failed, 0); });
+        pipe_->on_more = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) self->pump();
+        };
     }
 
     void close() {
@@ -127,7 +164,10 @@
         error_code ignored;
         socket_.close(ignored);
         timer_.cancel();
-        if (phase_ == Phase::waiting) {
+        const bool held = id_ != 0 && (phase_ != Phase::answering || pipe_);
+        if (body_) body_->on_room = nullptr;
+        if (const auto pipe = std::exchange(pipe_, nullptr)) pipe->on_more = nullptr;
+        if (held) {
             owner->held_.erase(id_);
             owner->callbacks_.gone(id_);
         }
@@ -136,122 +176,349 @@
     }
 
 private:
-    enum class Phase { idle, reading, waiting, answering, finishing };
+    enum class Phase { idle, head, body, waiting, answering, finishing };
+
+    bool stays() const { return keep_ && !receiving() && !owner_->draining_; }
+    // Whether a request's body is yet to come.
+    bool receiving() const { return body_ && !body_->whole(); }
 
-    // One wait at a time: for a request while idle, for the client's end while it waits.
+    // One wait at a time: for a request while idle, for the rest of it, for the client's end while it waits.
     void wait_readable() {
         if (waiting_) return;
         waiting_ = true;
         socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
             self->waiting_ = false;
-            if (self->owner_) self->readable(failed);
+            if (!self->owner_) return;
+            if (failed) return self->close();
+            self->readable();
         });
     }
 
-    void readable(error_code failed) {
-        if (failed) return close();
-        if (phase_ == Phase::idle) return read();
+    void readable() {
+        if (phase_ == Phase::finishing) return;  // discards by itself
+        if (phase_ == Phase::idle || phase_ == Phase::head || receiving()) return feed();
+        // The next request, early, stays where it is until this one has its answer.
         char byte;
         error_code error;
         socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-        if (!error)
-            readable_ = true;  // its next request, early: read after this one's answer
-        else if (error == asio::error::would_block)
+        if (error == asio::error::would_block)
             wait_readable();
-        else if (phase_ != Phase::answering)
+        else if (error && phase_ != Phase::answering)
             close();
-        else
-            readable_ = true;  // its end: the answer goes out as far as it will
     }
 
-    void read() {
-        phase_ = Phase::reading;
-        parser_.emplace();
-        close_at(first_by_.value_or(std::chrono::steady_clock::now() + span(kLongestRead)));
-        async_read_bounded(socket_, buffer_, *parser_, kBodyLimit,
-                           [self = shared_from_this()](error_code failed) {
-                               if (!self->owner_) return;
-                               self->timer_.cancel();
-                               self->arrived(failed);
-                           });
+    // Reads and parses as long as there is something to read and room for it.
+    void feed() {
+        for (int turns = 0;; ++turns) {
+            if (!owner_ || (phase_ != Phase::idle && phase_ != Phase::head && !receiving())) return;
+            if (receiving() && body_->room() == 0) return no_limit();  // our delay: on_room goes on
+            if (buffer_.size() > 0) {
+                if (!parse()) return;
+                continue;
+            }
+            if (turns >= kTurns) {  // the others' turn
+                return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->feed(); });
+            }
+            if (!receive()) return;
+        }
+    }
+
+    // Whether anything was read.
+    bool receive() {
+        error_code error;
+        const std::size_t space = buffer_.max_size() - buffer_.size();
+        const std::size_t size = std::min(space, receiving() ? kPiece : kHeadPiece);
+        const std::size_t count = socket_.read_some(buffer_.prepare(size), error);
+        if (error == asio::error::would_block) {
+            if (phase_ == Phase::idle) buffer_.shrink_to_fit();
+            wait_readable();
+            return false;
+        }
+        if (error) return close(), false;
+        buffer_.commit(count);
+        received_ += count;
+        if (receiving())
+            body_timer();
+        else if (phase_ == Phase::head)
+            since_ = Steady::now();
+        return true;
     }
 
-    void arrived(error_code failed) {
-        if (failed) return malformed(failed) ? reject() : close();
-        first_by_.reset();
+    // Hands the parser what has come; false: it needs more than that, or this was the end of it.
+    bool parse() {
+        if (phase_ == Phase::idle) {
+            while (buffer_.size() > 0 && is_line_end(buffer_)) buffer_.consume(1);  // before a request line
+            if (buffer_.size() == 0) return true;
+            phase_ = Phase::head;
+            since_ = Steady::now();
+            parser_.emplace();
+            parser_->header_limit(kHeaderLimit);
+            parser_->body_limit(kLargestBody);
+            close_at(first_by_.value_or(Steady::now() + span(kLongestHead)));
+        }
+        error_code error;
+        std::size_t room = 0;
+        auto& part = parser_->get().body();
+        if (receiving()) {
+            part.size = room = body_->room();
+            part.data = body_->space();
+            part.more = true;
+        }
+        const bool heading = !parser_->is_header_done();
+        parser_->eager(!heading);
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (receiving() && part.size < room) {
+            body_->added(room - part.size);
+        }
+        if (error == http::error::need_buffer) error = {};
+        if (error == http::error::need_more) {
+            if (buffer_.size() < buffer_.max_size()) return receive();
+            error = http::error::header_limit;
+        }
+        if (error) {
+            reject(error == http::error::body_limit ? http::status::payload_too_large
+                                                    : http::status::bad_request);
+            return false;
+        }
+        if (heading && parser_->is_header_done()) return head_done();
+        if (receiving()) {
+            if (parser_->is_done()) return body_done(), false;
+            if (phase_ == Phase::body && body_->full()) arrive();
+        }
+        return true;
+    }
+
+    bool head_done() {
+        const auto& head = parser_->get();
         keep_ = parser_->keep_alive();
-        request_ = std::make_shared<const Message>(parser_->release());
-        parser_.reset();
-        if (request_->target() == "/_health")
-            return answer(plain(request_->method() == http::verb::get ? http::status::ok
-                                                                      : http::status::method_not_allowed));
-        auto arrival = read_arrival(*request_);
-        if (!arrival) return reject();
+        version_ = head.version();
+        const auto length = parser_->content_length();
+        // Beast refuses two lengths, and a length beside chunks; a coding that it does not know hides the
+        // end.
+        const auto codings = head.count(http::field::transfer_encoding);
+        const bool framed =
+            codings == 0 || (codings == 1 && head.count(http::field::content_length) == 0 && version_ == 11 &&
+                             boost::beast::iequals(head[http::field::transfer_encoding], "chunked"));
+        if (!framed || version_ > 11) return reject(http::status::bad_request), false;
+        if (length && *length > kLargestBody) return reject(http::status::payload_too_large), false;
+        auto message = std::make_shared<Message>();
+        static_cast<Message::header_type&>(*message) = head.base();
+        if (head.target().starts_with("http://")) {  // the absolute form
+            const auto path = head.target().find('/', 7);
+            message->target(path == boost::beast::string_view::npos ? "/" : head.target().substr(path));
+        }
+        message_ = std::move(message);
+        if (parser_->is_done() && message_->target() == "/_health") {
+            first_by_.reset();
+            no_limit();
+            answer(plain(head.method() == http::verb::get ? http::status::ok
+                                                          : http::status::method_not_allowed));
+            return false;
+        }
+        if (!read_arrival(*message_)) return reject(http::status::bad_request), false;
+        if (parser_->is_done()) return arrive(), false;
+        phase_ = Phase::body;
+        body_ = std::make_shared<Pipe>(owner_->budget_,
+                                       length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+        body_->on_room = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self || !self->receiving()) return;
+            self->body_began_ = Steady::now();
+            self->received_ = 0;
+            self->body_timer();
+            asio::post(self->socket_.get_executor(), [self] {
+                if (self->owner_) self->feed();
+            });
+        };
+        body_began_ = Steady::now();
+        received_ = buffer_.size();
+        body_timer();
+        if (buffer_.size() > 0 || !expects_continue()) return true;
+        const auto line = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+        asio::async_write(socket_, asio::buffer(*line),
+                          [self = shared_from_this(), line](error_code failed, std::size_t) {
+                              if (!self->owner_) return;
+                              if (failed) return self->close();
+                              self->feed();
+                          });
+        return false;
+    }
+    bool expects_continue() const {
+        return version_ == 11 && boost::beast::iequals((*message_)[http::field::expect], "100-continue");
+    }
+
+    void body_done() {
+        no_limit();
+        body_->finish();
+        if (!owner_) return;
+        if (phase_ == Phase::body) return arrive();
+        if (phase_ != Phase::waiting) return;
+        owner_->callbacks_.whole(id_);
+        if (owner_ && phase_ == Phase::waiting && buffer_.size() == 0) wait_readable();
+    }
+
+    // To the sidecar: with its body whole, or as much of it as there is room for.
+    void arrive() {
+        auto arrival = read_arrival(*message_);
+        first_by_.reset();
+        if (!receiving()) no_limit();
         arrival->id = id_ = owner_->next_request_++;
-        arrival->message = request_;
+        arrival->message = message_;
+        arrival->body = body_ && body_->whole() && body_->total() == 0 ? nullptr : body_;
         phase_ = Phase::waiting;
         owner_->held_[id_] = shared_from_this();
-        if (buffer_.size() == 0) wait_readable();
+        if (!receiving() && buffer_.size() == 0) wait_readable();
         owner_->callbacks_.arrived(std::move(*arrival));
     }
 
+    // A body has to come on: no long pause within it, and at half the slowest writer's pace on the whole.
+    void body_timer() {
+        const auto paced = body_began_ + span(kPause + static_cast<double>(received_) / kSlowestPace);
+        close_at(std::min(Steady::now() + span(kPause), paced));
+    }
+
+    void reject(http::status status) {
+        if (phase_ == Phase::answering) return;  // it has its answer, and its end with it
+        if (id_ != 0) {
+            owner_->held_.erase(id_);
+            owner_->callbacks_.gone(id_);
+            leave(*owner_, false);
+        }
+        keep_ = false;
+        answer(plain(status));
+    }
+
     // The request that it has here, if any, is at its end.
     void leave(Front& owner, bool whole) {
         if (id_ != 0) owner.callbacks_.left(std::exchange(id_, 0), whole);
     }
 
-    void reject() {
-        keep_ = false;
-        answer(plain(http::status::bad_request));
+    void answered(bool whole, bool stays) {
+        const bool unread = receiving();
+        if (body_) body_->on_room = nullptr;
+        body_.reset();
+        message_.reset();
+        parser_.reset();
+        if (const auto pipe = std::exchange(pipe_, nullptr)) pipe->on_more = nullptr;
+        leave(*owner_, whole);
+        no_limit();
+        if (!whole) return close();
+        if (!stays || unread) return finish();
+        phase_ = Phase::idle;
+        since_ = Steady::now();
+        owner_->rested();
+        if (buffer_.size() > 0) return feed();
+        buffer_.shrink_to_fit();
+        wait_readable();
+    }
+
+    // ---- An answer that is passed on as it comes ----
+
+    void pump() {
+        if (!owner_ || writing_ || !pipe_) return;
+        const auto bytes = pipe_->unread();
+        if (!bytes.empty()) {
+            writing_ = true;
+            progress();
+            const auto done = [self = shared_from_this(), count = bytes.size()](
+                                  error_code failed, std::size_t) { self->wrote(failed, count); };
+            const asio::const_buffer out(bytes.data(), bytes.size());
+            if (pipe_->length || until_close_)
+                asio::async_write(socket_, out, done);
+            else
+                asio::async_write(socket_, http::make_chunk(out), done);
+        } else if (pipe_->broken()) {
+            abort();
+        } else if (pipe_->whole() && !pipe_->length && !until_close_ && !std::exchange(ending_, true)) {
+            writing_ = true;
+            asio::async_write(
+                socket_, http::make_chunk_last(),
+                [self = shared_from_this()](error_code failed, std::size_t) { self->wrote(failed, 0); });
+        } else if (pipe_->whole()) {
+            ending_ = false;
+            answered(true, stays_);
+        } else {
+            no_limit();  // the server's turn
+        }
+    }
+    void wrote(error_code failed, std::size_t count) {
+        writing_ = false;
+        if (!owner_) return;
+        if (failed) return close();
+        const auto self = shared_from_this();
+        const auto pipe = pipe_;
+        if (count > 0) pipe->take(count);
+        pump();
+    }
+    // A reader may be slow, but not still.
+    void progress() { close_at(Steady::now() + span(kStillReader)); }
+    // The client must see that it is not whole: short of its length, or without its last chunk, or reset.
+    void abort() {
+        error_code ignored;
+        if (until_close_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
     }
 
     // Closing over unread bytes would reset the connection and could take the answer with it: the client's
-    // end is awaited, for a while.
+    // end is awaited for a while, longer where it goes on sending.
     void finish() {
         phase_ = Phase::finishing;
         error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        close_at(std::chrono::steady_clock::now() + span(kLinger));
+        finish_by_ = Steady::now() + span(kLongestLinger);
+        close_at(Steady::now() + span(kLinger));
         discard();
     }
     void discard() {
-        socket_.async_read_some(asio::buffer(scrap_),
+        buffer_.consume(buffer_.size());
+        socket_.async_read_some(buffer_.prepare(kHeadPiece),
                                 [self = shared_from_this()](error_code failed, std::size_t) {
                                     if (failed) return self->close();
-                                    if (self->owner_) self->discard();
+                                    if (!self->owner_) return;
+                                    self->close_at(std::min(self->finish_by_, Steady::now() + span(kLinger)));
+                                    self->discard();
                                 });
     }
 
-    void close_at(std::chrono::steady_clock::time_point when) {
+    void no_limit() {
+        due_ = {};
+        timer_.cancel();
+    }
+    void close_at(Steady::time_point when) {
+        due_ = when;
         timer_.expires_at(when);
-        timer_.async_wait([weak = weak_from_this(), phase = phase_](error_code cancelled) {
+        timer_.async_wait([weak = weak_from_this(), when](error_code cancelled) {
             const auto self = weak.lock();
-            if (!cancelled && self && self->phase_ == phase) self->close();
+            if (!cancelled && self && self->due_ == when) self->close();
         });
     }
 
-    static constexpr Millis kLinger = 300;
+    static constexpr Millis kLinger = 300, kLongestLinger = 3000;
 
     Front* owner_;  // none: closed
     Tcp::socket socket_;
     asio::steady_timer timer_;
-    boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
-    std::optional<http::request_parser<http::string_body>> parser_;
-    std::shared_ptr<const Message> request_;
-    std::shared_ptr<Answer> answer_;
-    std::array<char, 512> scrap_{};
+    boost::beast::flat_buffer buffer_{kHeaderLimit + kHeadPiece};
+    std::optional<http::request_parser<http::buffer_body>> parser_;
+    std::shared_ptr<const Message> message_;
+    std::shared_ptr<Pipe> body_, pipe_;  // of the request, and of its answer
     Phase phase_ = Phase::idle;
     RequestId id_ = 0;
-    std::chrono::steady_clock::time_point since_;
-    std::optional<std::chrono::steady_clock::time_point> first_by_;  // none: it has sent a request
-    bool keep_ = true, waiting_ = false, readable_ = false;
+    unsigned version_ = 11;
+    std::uint64_t received_ = 0;
+    Steady::time_point since_, body_began_, due_, finish_by_;
+    std::optional<Steady::time_point> first_by_;  // none: it has sent a request
+    bool keep_ = true, stays_ = true, waiting_ = false, writing_ = false, ending_ = false,
+         until_close_ = false;
 };
 
 Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, bool shared,
-             Callbacks callbacks)
+             std::shared_ptr<Budget> budget, Callbacks callbacks)
     : io_(io),
       acceptor_(io, listen.protocol()),
       most_clients_(clients),
+      budget_(std::move(budget)),
       callbacks_(std::move(callbacks)),
       timer_(io),
       drain_timer_(io) {
@@ -306,13 +573,20 @@
     }
 }
 
-// At the bound, the client that has been idle longest makes room; where none is, accepting waits for one.
+// At the bound, the client of least use makes room, of those alike the one that has been so longest; where
+// none may, accepting waits for one.
 bool Front::make_room() {
     if (clients_.size() < most_clients_) return true;
-    ClientPtr oldest;
+    std::vector<std::pair<std::pair<int, Steady::time_point>, ClientPtr>> order;
     for (const ClientPtr& client : clients_)
-        if ((!oldest || client->since() < oldest->since()) && client->idle()) oldest = client;
-    if (oldest) oldest->close();
+        if (client->use() < Client::kNeeded) order.push_back({{client->use(), client->since()}, client});
+    const auto later = [](const auto& a, const auto& b) { return a.first > b.first; };
+    std::make_heap(order.begin(), order.end(), later);
+    while (!order.empty() && clients_.size() >= most_clients_) {
+        if (order.front().second->quiet()) order.front().second->close();
+        std::pop_heap(order.begin(), order.end(), later);
+        order.pop_back();
+    }
     return clients_.size() < most_clients_;
 }
 
@@ -335,6 +609,14 @@
     client->answer(std::move(answer));
 }
 
+void Front::stream(RequestId request, Head head, std::shared_ptr<Pipe> body) {
+    const auto at = held_.find(request);
+    if (at == held_.end()) return;
+    const ClientPtr client = at->second;
+    held_.erase(at);
+    client->stream(std::move(head), std::move(body));
+}
+
 void Front::drain(Millis accepting) {
     if (draining_) return;
     draining_ = true;
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -13,16 +13,19 @@
 
 #include "kestrelhall/balancer.hpp"
 #include "net/config.hpp"
+#include "net/pipe.hpp"
 
 namespace kestrelhall::net {
 
 class Front {
 public:
-    using Message = boost::beast::http::request<boost::beast::http::string_body>;
+    using Message = boost::beast::http::request<boost::beast::http::empty_body>;
+    using Head = boost::beast::http::response<boost::beast::http::empty_body>;
     using Answer = boost::beast::http::response<boost::beast::http::string_body>;
     struct Arrival {
         RequestId id = 0;
-        std::shared_ptr<const Message> message;
+        std::shared_ptr<const Message> message;  // its head
+        std::shared_ptr<Pipe> body;              // none: it has none; may be yet to come
         std::string class_name;
         std::string tenant;
         Millis time_left = 0;
@@ -31,7 +34,8 @@
     };
     struct Callbacks {
         std::function<void(Arrival)> arrived;
-        std::function<void(RequestId)> gone;  // its client has closed the connection
+        std::function<void(RequestId)> whole;  // the last byte of one that arrived with its body yet to come
+        std::function<void(RequestId)> gone;   // its client has closed the connection
         std::function<void(RequestId, bool whole)>
             left;                       // once, after all: whether its answer went out whole
         std::function<void()> drained;  // after drain(): no client is left
@@ -40,11 +44,13 @@
     // Listens at once; throws boost::system::system_error where it can't. `shared`: with another process of
     // this sidecar, where there is one; new connections then go to the one that listened last.
     Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, bool shared,
-          Callbacks callbacks);
+          std::shared_ptr<Budget> budget, Callbacks callbacks);
     ~Front();
 
     // The final answer; the first one counts.
     void answer(RequestId request, Answer answer);
+    // The same for one whose body is passed on as it comes.
+    void stream(RequestId request, Head head, std::shared_ptr<Pipe> body);
     // Goes on taking requests for that long, closing each connection with its answer, then only finishes.
     void drain(Millis accepting);
     Tcp::endpoint address() const { return address_; }
@@ -67,6 +73,7 @@
     Tcp::acceptor acceptor_;
     Tcp::endpoint address_;
     std::size_t most_clients_;
+    std::shared_ptr<Budget> budget_;
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;  // of the next try to accept
     boost::asio::steady_timer drain_timer_;
--- a/src/net/message.hpp
+++ b/src/net/message.hpp
@@ -7,7 +7,8 @@
 
 namespace kestrelhall::net {
 
-constexpr std::size_t kBodyLimit = 64 * 1024;
+constexpr std::size_t kBodyLimit = 64 * 1024;             // of what is kept whole
+constexpr std::uint64_t kLargestBody = 32 * 1024 * 1024;  // of what is passed on
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
 
 // Whether reading ended on bytes that are not a message within the bounds, and not on the connection's end.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -26,18 +26,26 @@
 
 constexpr Millis kIdleMargin = 0.07;  // of idle-close-ms: closed by us before the server does
 constexpr Millis kProbeTimeout = 250;
+constexpr std::size_t kBufferPart = 4;  // of the memory allowed, what bodies in passing may fill
+constexpr double kGatherPart = 8;  // of the shortest aim, what an answer of unknown length may be kept back
+constexpr Millis kNever = 1e15;
 constexpr Millis kTwinLook = 50;    // between looks for another process of this sidecar
 constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 constexpr Millis kLastCall = 3500;  // after which a drain ends whatever is open
 
 // Whether the method and the key are those that the protocol gives to a class.
-bool in_form(const RequestClass& kind, const Front::Message& message) {
+bool in_form(const RequestClass& kind, const Front::Message& message, bool has_body) {
     const bool keyed = !message["Idempotency-Key"].empty();
-    if (kind.effect == Effect::repeatable)
-        return message.method() == http::verb::get && message.body().empty();
+    if (kind.effect == Effect::repeatable) return message.method() == http::verb::get && !has_body;
     return message.method() == http::verb::post && keyed == (kind.effect == Effect::by_key);
 }
 
+Millis gather(const Settings& settings) {
+    Millis least = settings.classes.front().aim;
+    for (const RequestClass& c : settings.classes) least = std::min(least, c.aim);
+    return least / kGatherPart;
+}
+
 std::string decimal(double value, const char* format) {
     char text[40];
     return {text, text + std::snprintf(text, sizeof text, format, value)};
@@ -50,10 +58,14 @@
       config_(std::move(config)),
       balancer_(config_.site.settings, config_.seed),
       timer_(io),
-      upstream_(io, {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets)}),
+      upstream_(io,
+                {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets),
+                 gather(config_.site.settings)},
+                budget_),
       twin_timer_(io),
       metrics_(config_.site.classes),
       last_call_(io) {
+    budget_->limit = buffers();
     if (config_.operators) {
         try {
             operators_.emplace(io, *config_.operators,
@@ -88,9 +100,9 @@
 }
 
 void Sidecar::open_front() {
-    front_.emplace(io_, config_.listen, half(sockets()), config_.operators.has_value(),
+    front_.emplace(io_, config_.listen, half(sockets()), config_.operators.has_value(), budget_,
                    Front::Callbacks{[this](Front::Arrival arrival) { arrived(std::move(arrival)); },
-                                    [this](RequestId id) { gone(id); },
+                                    [this](RequestId id) { whole(id); }, [this](RequestId id) { gone(id); },
                                     [this](RequestId id, bool whole) {
                                         const auto flight = flights_.find(id);
                                         if (flight == flights_.end()) return;
@@ -106,11 +118,16 @@
 // Two processes of one sidecar hold to its limits together: each to half of them.
 std::size_t Sidecar::sockets() const { return halved_ ? config_.sockets / 2 : config_.sockets; }
 
+std::size_t Sidecar::buffers() const {
+    return config_.memory_mb * 1024 * 1024 / kBufferPart / (halved_ ? 2 : 1);
+}
+
 void Sidecar::watch_twin() {
     if (const bool other = twin_->other_lives(); other != halved_) {
         halved_ = other;
         log_line(other ? "another process of this sidecar lives: half of the limits each"
                        : "the only process of this sidecar: all of the limits");
+        budget_->limit = buffers();
         upstream_.limit_connections(half(sockets()));
         if (front_) front_->limit_clients(half(sockets()));
         give(Doubled{halved_});
@@ -222,7 +239,8 @@
     r.attempts.push_back({0, send.server, now, true});
     ++r.out;
     if (server != servers_.end()) ++server->second.out;
-    if (r.ended || now >= until || server == servers_.end() || !server->second.listed)
+    if (r.ended || now >= until || server == servers_.end() || !server->second.listed ||
+        (r.body && !r.body->kept()))
         return ended(send.id, number, Outcome::superseded, {});
 
     const Front::Message& from = *r.message;
@@ -232,16 +250,18 @@
     to.message.version(11);
     copy_end_to_end(to.message, from);
     to.message.set(http::field::host, from[http::field::host]);
-    to.message.set("Request-Timeout-Ms", decimal(std::max(1.0, std::floor(until - now)), "%.0f"));
-    to.message.body() = boost::beast::span<const char>(from.body().data(), from.body().size());
-    to.message.prepare_payload();
-    to.keep = r.message;
-    r.attempts[number].exchange =
-        upstream_.start(send.server, std::move(to),
-                        [this, id = send.id, number](Outcome outcome, Upstream::Response response) {
-                            ended(id, number, outcome, std::move(response));
-                        });
-    due(until, AttemptLimit{send.id, number});
+    const Millis waits = r.whole_at > 0 ? until - now : r.time_left;
+    to.message.set("Request-Timeout-Ms", decimal(std::max(1.0, std::floor(waits)), "%.0f"));
+    if ((to.body = r.body)) r.body->rewind();
+    r.attempts[number].exchange = upstream_.start(
+        send.server, std::move(to),
+        [this, id = send.id, number](Outcome outcome, Upstream::Response response) {
+            ended(id, number, outcome, std::move(response));
+        },
+        [this, id = send.id, number](Front::Head head, std::shared_ptr<Pipe> body) {
+            begun(id, number, std::move(head), std::move(body));
+        });
+    if (until < kNever) due(until, AttemptLimit{send.id, number});
 }
 
 void Sidecar::carry_out(const Cancel& cancel) {
@@ -262,7 +282,9 @@
 }
 
 void Sidecar::give_answer(RequestId id, Front::Answer answer) {
-    flights_.at(id).ending = ending_of(answer.result_int());
+    Flight& flight = flights_[id];
+    flight.class_index = requests_.at(id).class_index;
+    flight.ending = ending_of(answer.result_int());
     front_->answer(id, std::move(answer));
 }
 
@@ -275,19 +297,54 @@
     const auto& classes = config_.site.settings.classes;
     if (event.class_index >= classes.size())
         return front_->answer(arrival.id, Front::Answer(http::status::not_found, 11));
-    if (!in_form(classes[event.class_index], *arrival.message))
+    if (!in_form(classes[event.class_index], *arrival.message, arrival.body != nullptr))
         return front_->answer(arrival.id, Front::Answer(http::status::bad_request, 11));
     if (!arrival.tenant.empty()) event.tenant = config_.site.tenant_index(arrival.tenant);
     event.time_left = arrival.time_left;
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
-    flights_[arrival.id].class_index = event.class_index;
+    event.unfinished = arrival.body && !arrival.body->whole();
     Request& request = requests_[arrival.id];
     request.message = std::move(arrival.message);
-    request.deadline = clock_.now() + arrival.time_left;
+    request.body = std::move(arrival.body);
+    request.class_index = event.class_index;
+    request.time_left = arrival.time_left;
+    request.deadline = kNever;
+    if (event.unfinished) return give(event);  // taken, and its time begun, with its last byte
+    request.whole_at = clock_.now();
+    request.deadline = request.whole_at + arrival.time_left;
+    flights_[arrival.id].class_index = event.class_index;
     give(event);
 }
 
+void Sidecar::whole(RequestId id) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || at->second.ended) return;
+    Request& r = at->second;
+    r.whole_at = clock_.now();
+    r.deadline = r.whole_at + r.time_left;
+    flights_[id].class_index = r.class_index;
+    for (std::uint32_t number = 0; number < r.attempts.size(); ++number)
+        if (r.attempts[number].out) due(r.deadline, AttemptLimit{id, number});
+    give(BodyWhole{id, r.time_left});
+}
+
+void Sidecar::begun(RequestId id, std::uint32_t number, Front::Head head, std::shared_ptr<Pipe> body) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || !at->second.attempts[number].out) return;
+    Attempt& attempt = at->second.attempts[number];
+    if (at->second.ended) {  // nobody waits for it
+        upstream_.stop(attempt.exchange);
+        return ended(id, number, Outcome::completed, {});
+    }
+    attempt.begun = clock_.now();
+    Flight& flight = flights_[id];
+    flight.class_index = at->second.class_index;
+    flight.ending = Ending::served;
+    give(FirstByte{id, number});
+    front_->stream(id, std::move(head), std::move(body));
+}
+
 void Sidecar::gone(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.ended) return;
@@ -295,6 +352,14 @@
     if (const auto still = requests_.find(id); still == requests_.end() || still->second.ended) return;
     requests_.at(id).ended = true;
     give(ClientGone{id});
+    // What can't come to its end without the client is not left to run out.
+    const auto left = requests_.find(id);
+    for (std::uint32_t i = 0; left != requests_.end() && i < left->second.attempts.size(); ++i) {
+        const Attempt& attempt = left->second.attempts[i];
+        if (!attempt.out || (left->second.whole_at > 0 && attempt.begun == 0)) continue;
+        upstream_.stop(attempt.exchange);
+        return ended(id, i, Outcome::recalled, {});
+    }
     forget_request(id);
 }
 
@@ -306,10 +371,17 @@
     if (!attempt.out) return;
     attempt.out = false;
     --r.out;
-    AttemptEnded event{id, number, outcome, clock_.now() - attempt.sent, r.ended};
+    // The server's time: from the request's last byte to the first that is passed on, or to the answer's
+    // last.
+    const Millis till = attempt.begun > 0 ? attempt.begun : clock_.now();
+    AttemptEnded event{id, number, outcome, std::max(0.0, till - std::max(attempt.sent, r.whole_at)),
+                       r.ended};
+    if (r.body && !r.body->kept() && !r.ended) give(BodySpent{id});
     const ServerId server = attempt.server;
     // What a server makes of the request is the client's, be it that it can't be served.
-    if ((outcome == Outcome::completed || outcome == Outcome::rejected) && !r.ended) {
+    if (attempt.begun > 0)
+        event.request_ended = r.ended = true;
+    else if ((outcome == Outcome::completed || outcome == Outcome::rejected) && !r.ended) {
         Front::Answer made(response.result(), 11);
         copy_end_to_end(made, response);
         made.body() = std::move(response.body());
@@ -404,6 +476,7 @@
         const auto& limit = std::get<AttemptLimit>(what);
         const auto request = requests_.find(limit.request);
         if (request == requests_.end() || !request->second.attempts[limit.attempt].out) continue;
+        if (request->second.attempts[limit.attempt].begun > 0) continue;  // it goes on as long as it comes
         const bool written = upstream_.stop(request->second.attempts[limit.attempt].exchange);
         ended(limit.request, limit.attempt, written ? Outcome::overdue : Outcome::refused_connection, {});
     }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -47,6 +47,7 @@
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
     bool halved() const { return halved_; }
+    std::size_t buffered() const { return budget_->used; }
 
 private:
     // Kept until the request has its answer and its attempts have ended.
@@ -55,12 +56,17 @@
         ServerId server = 0;
         Millis sent = 0;
         bool out = true;
+        Millis begun = 0;  // to be passed on; none: not begun
     };
     struct Request {
         std::shared_ptr<const Front::Message> message;
+        std::shared_ptr<Pipe> body;  // none: it has none
+        Millis time_left = 0;        // from its last byte on
+        Millis whole_at = 0;         // none: its body is yet to come
         Millis deadline = 0;
         std::vector<Attempt> attempts;
         std::size_t out = 0;
+        std::uint32_t class_index = 0;
         bool ended = false;
     };
     // Kept while it is listed or an attempt on it is out.
@@ -99,11 +105,14 @@
 
     void arrived(Front::Arrival arrival);
     void gone(RequestId id);
+    void whole(RequestId id);
+    void begun(RequestId id, std::uint32_t attempt, Front::Head head, std::shared_ptr<Pipe> body);
     void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
     void probe(ServerId server);
     void open_front();
     void watch_twin();
     std::size_t sockets() const;
+    std::size_t buffers() const;
 
     ServerId server_id(const std::string& name);
     void list(ListKind kind, const MemberList& members);
@@ -118,6 +127,7 @@
     Config config_;
     Clock clock_;
     Balancer balancer_;
+    std::shared_ptr<Budget> budget_ = std::make_shared<Budget>();
     std::deque<Event> events_;  // what happened while actions were carried out
     bool handling_ = false;
     std::vector<Action> actions_;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -12,6 +12,7 @@
 
 #include "kestrelhall/balancer.hpp"
 #include "net/config.hpp"
+#include "net/pipe.hpp"
 
 namespace kestrelhall::net {
 
@@ -19,23 +20,27 @@
 
 class Upstream {
 public:
-    // The body stays where `keep` keeps it.
     struct Request {
-        boost::beast::http::request<boost::beast::http::span_body<const char>> message;
-        std::shared_ptr<const void> keep;
-        bool attempt = true;  // not a probe
+        boost::beast::http::request<boost::beast::http::span_body<const char>> message;  // its head
+        std::shared_ptr<Pipe> body;  // none: it has none; else from its start, and perhaps yet to come
+        bool attempt = true;         // not a probe
     };
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
+    using Head = boost::beast::http::response<boost::beast::http::empty_body>;
     // Called once, never from within start(); the response is whole where the outcome is `completed`.
     using Done = std::function<void(Outcome, Response)>;
+    // A 200 that is passed on as it comes: its head, and its body, which ends as Done tells. Without it an
+    // answer that can't be kept whole is none.
+    using Begun = std::function<void(Head, std::shared_ptr<Pipe>)>;
 
     struct Limits {
         Millis connect_timeout = 250;
         Millis idle = 14000;            // a connection idle for longer is not used any more
         std::size_t connections = 512;  // open at once, to all servers
+        Millis gather = 50;             // an answer of unknown length is kept for a retry at most so long
     };
 
-    Upstream(boost::asio::io_context& io, Limits limits);
+    Upstream(boost::asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget);
     ~Upstream();
 
     // Where the server listens; connections to another address, or to an earlier life, are not used again.
@@ -43,7 +48,7 @@
     void forget_server(ServerId server);
     void close_idle(ServerId server);
 
-    ExchangeId start(ServerId server, Request request, Done done);
+    ExchangeId start(ServerId server, Request request, Done done, Begun begun = nullptr);
     // Stops waiting; Done is not called any more. False: the request was provably never written whole.
     bool stop(ExchangeId exchange);
 
@@ -74,6 +79,7 @@
 
     boost::asio::io_context& io_;
     Limits limits_;
+    std::shared_ptr<Budget> budget_;
     std::unordered_map<ServerId, Server> servers_;
     std::unordered_map<ExchangeId, ConnectionPtr> exchanges_;
     ExchangeId next_exchange_ = 1;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -93,6 +93,13 @@
     }
 };
 
+// Placement. A class we don't know might be bound as any of ours: it may go only where all of them may.
+inline bool is_open(const Settings& settings, std::uint32_t class_index, const ServerInfo& s) {
+    const auto open = [&](const RequestClass& c) { return holds(c.zones, s.zone) && holds(c.kinds, s.kind); };
+    const auto& all = settings.classes;
+    return class_index < all.size() ? open(all[class_index]) : std::all_of(all.begin(), all.end(), open);
+}
+
 // Listed servers that get nothing now: leaving, out of the pool, or in a lost zone.
 inline std::size_t avoided(const Servers& servers, const std::map<ZoneId, Loss>& lost, Millis now, int enough,
                            Millis length) {
@@ -121,6 +128,7 @@
     std::uint64_t order = 0;  // of arrival
     bool excess = false;      // beyond its tenant's share
     bool repeat = false, ended = false, streaming = false;
+    bool spent = false;     // its body can't be sent again
     bool waiting = false;   // has its hold timer
     Millis hold_until = 0;  // what waits for room is refused after this
     std::vector<Attempt> attempts;
--- a/src/support.hpp
+++ b/src/support.hpp
@@ -17,6 +17,11 @@
     return o != Outcome::rejected && o != Outcome::recalled && o != Outcome::superseded;
 }
 
+inline bool proves_never_ran(Outcome o, const Settings& settings) {
+    return o == Outcome::refused_connection || o == Outcome::superseded ||
+           (o == Outcome::saturated && !settings.saturated_is_no_proof);
+}
+
 // Whether something came from the server that was asked.
 inline bool is_answer(Outcome o) {
     return o == Outcome::completed || o == Outcome::errored || o == Outcome::saturated;
--- /dev/null
+++ b/tests/stream_test.cpp
@@ -0,0 +1,363 @@
+// Bodies too large to keep, slow peers, and the forms that HTTP/1.1 gives a message.
+#include <numeric>
+
+#include "net_rig.hpp"
+
+namespace kestrelhall::net::test {
+namespace {
+
+std::string pattern(std::size_t size) {
+    std::string text(size, '\0');
+    for (std::size_t i = 0; i < size; ++i) text[i] = static_cast<char>('a' + (i * 7 + i / 251) % 26);
+    return text;
+}
+
+// A peer that reads and writes bytes as the test says, in one io_context with what is tested.
+struct RawPeer {
+    explicit RawPeer(Tcp::socket s) : socket(std::move(s)) { socket.non_blocking(true); }
+    RawPeer(asio::io_context& io, const Tcp::endpoint& address) : socket(io) {
+        socket.connect(address);
+        socket.non_blocking(true);
+    }
+    // What may be written now; the rest stays in `out`.
+    void write() {
+        error_code error;
+        while (sent < out.size() && !error) sent += socket.write_some(asio::buffer(out) + sent, error);
+        if (sent == out.size()) out.clear(), sent = 0;
+    }
+    void read(std::size_t most = 1 << 20) {
+        error_code error;
+        std::vector<char> piece(std::min<std::size_t>(most, 65536));
+        while (most > 0 && !error) {
+            const std::size_t count =
+                socket.read_some(asio::buffer(piece.data(), std::min(most, piece.size())), error);
+            in.append(piece.data(), count);
+            most -= count;
+        }
+        if (error && error != asio::error::would_block) ended = true;
+    }
+    void turn() { write(), read(); }
+    Tcp::socket socket;
+    std::string in, out;
+    std::size_t sent = 0;  // of `out`
+    bool ended = false;
+};
+
+struct Stream : NetRig {
+    // In place of server a: whatever connects there, for the test to play.
+    Tcp::acceptor raw{io, any_port};
+    std::list<RawPeer> servers;
+    std::string raw_address() const { return "127.0.0.1:" + std::to_string(raw.local_endpoint().port()); }
+    void accept() {
+        raw.async_accept([this](error_code failed, Tcp::socket socket) {
+            if (failed) return;
+            servers.emplace_back(std::move(socket));
+            accept();
+        });
+    }
+    void start_raw(const std::string& memory = "192") {
+        accept();
+        Config config =
+            read_config(config_json(agent.address(), list_json(41, true, {{"s-raw", raw_address()}})));
+        config.memory_mb = std::stoul(memory);
+        config.operators = any_port;
+        sidecar.emplace(io, std::move(config));
+    }
+    void pass() { io.restart(), io.run_one_for(std::chrono::milliseconds(2)); }
+    // Until then, with both ends of everything moving.
+    void move_until(std::list<RawPeer>& peers, const std::function<bool()>& reached) {
+        until([&] {
+            for (RawPeer& p : peers) p.turn();
+            for (RawPeer& p : servers) p.turn();
+            return reached();
+        });
+    }
+    std::string_view body_of(std::string_view bytes) const {
+        const auto head = bytes.find("\r\n\r\n");
+        return head == std::string_view::npos ? "" : bytes.substr(head + 4);
+    }
+    int sum(const std::string& ending) const {
+        std::uint64_t all = 0;
+        for (const auto& c : sidecar->metrics().classes)
+            all += ending == "served" ? c.served : ending == "refused" ? c.refused : c.failed;
+        return static_cast<int>(all);
+    }
+};
+
+TEST_F(Stream, LargeBodiesPassBothWaysByteForByte) {
+    start_raw();
+    const std::string up = pattern(5 << 20), down = pattern(32 << 20);
+    std::list<RawPeer> peers;
+    peers.emplace_back(io, sidecar->address()).out = request("deposit", "id-1", 5000, up);
+    move_until(peers, [&] { return !servers.empty() && body_of(servers.front().in).size() >= up.size(); });
+    EXPECT_TRUE(body_of(servers.front().in) == up);
+    servers.front().out = response("200 OK", down);
+    move_until(peers, [&] { return peers.front().in.size() > down.size(); });
+    EXPECT_TRUE(body_of(peers.front().in) == down) << peers.front().in.substr(0, 200);
+    until([&] { return sidecar->metrics().in_flight == 0; });
+    EXPECT_EQ(sum("served"), 1);
+    EXPECT_EQ(sidecar->records(), 0u);
+}
+
+// The first bytes go out while the rest is yet to come, and a pause within it ends nothing.
+TEST_F(Stream, TheFirstBytesOfALargeAnswerGoOutAtOnce) {
+    start_raw();
+    std::list<RawPeer> peers;
+    peers.emplace_back(io, sidecar->address()).out = request("listen", "id-1", 300);
+    move_until(peers, [&] { return !servers.empty() && !servers.front().in.empty(); });
+    servers.front().out = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(10, 'a');
+    move_until(peers, [&] { return body_of(peers.front().in).size() == 10; });
+    const auto late = std::chrono::steady_clock::now() + std::chrono::milliseconds(400);  // past its deadline
+    move_until(peers, [&] { return std::chrono::steady_clock::now() > late; });
+    servers.front().out = std::string(99990, 'b');
+    move_until(peers, [&] { return body_of(peers.front().in).size() == 100000; });
+    EXPECT_NE(peers.front().in.find("\r\nContent-Length: 100000\r\n"), std::string::npos);
+    move_until(peers, [&] { return sum("served") == 1; });
+}
+
+// Neither length nor end is known: what there is goes on after a while, in chunks.
+TEST_F(Stream, AnAnswerInChunksIsPassedOnAsItComes) {
+    start_raw();
+    std::list<RawPeer> peers;
+    peers.emplace_back(io, sidecar->address()).out = request("listen", "id-1");
+    move_until(peers, [&] { return !servers.empty() && !servers.front().in.empty(); });
+    servers.front().out = "HTTP/1.1 200 OK\r\ntransfer-ENCODING: Chunked\r\n\r\n5;x=\"y\"\r\nfirst\r\n";
+    move_until(peers, [&] { return peers.front().in.find("first") != std::string::npos; });
+    servers.front().out = "6\r\nsecond\r\n0\r\nTrailer-Of: it\r\n\r\n";
+    move_until(peers, [&] { return peers.front().in.find("0\r\n\r\n") != std::string::npos; });
+    EXPECT_NE(peers.front().in.find("6\r\nsecond\r\n"), std::string::npos) << peers.front().in;
+    EXPECT_FALSE(peers.front().ended);
+}
+
+// More at a time than there is memory for, to readers that take nothing: the servers are not read further.
+TEST_F(Stream, SlowReadersHoldBackTheServersAndMemoryStaysBounded) {
+    start_raw("8");  // of which 2 MB for bodies in passing
+    constexpr std::size_t count = 24, size = 32 << 20;
+    std::list<RawPeer> readers;
+    for (std::size_t i = 0; i < count; ++i) {
+        RawPeer& reader = readers.emplace_back(io, sidecar->address());
+        reader.socket.set_option(asio::socket_base::receive_buffer_size(16384));
+        reader.out = request("listen", "id-" + std::to_string(i));
+        reader.write();
+    }
+    std::vector<std::size_t> sent(count);
+    const std::string piece(65536, 'x');
+    const auto serve = [&] {
+        std::size_t i = 0;
+        for (RawPeer& s : servers) {
+            if (s.in.empty()) {
+                s.read();
+                if (!s.in.empty())
+                    s.out = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+            }
+            error_code error;
+            if (s.out.empty() && !s.in.empty()) sent[i] += s.socket.write_some(asio::buffer(piece), error);
+            s.write();
+            ++i;
+        }
+    };
+    std::size_t before = 1, same = 0;
+    until([&] {  // until nothing more is taken from the servers for a while
+        serve();
+        const std::size_t all = std::accumulate(sent.begin(), sent.end(), std::size_t{0});
+        same = all == before && all > count * piece.size() ? same + 1 : 0;
+        before = all;
+        return same > 100;
+    });
+    EXPECT_LE(sidecar->buffered(), (2u << 20) + count * Pipe::kLeast);
+    EXPECT_LT(before, count * size / 2) << "the kernel's buffers are far smaller than that";
+    // Others are served meanwhile.
+    EXPECT_EQ(ask("GET /_health HTTP/1.1\r\n\r\n").result_int(), 200u);
+    for (RawPeer& reader : readers) EXPECT_FALSE(reader.ended);
+    readers.clear();
+    until([&] { return sidecar->records() == 0 && sidecar->buffered() == 0; });
+    EXPECT_EQ(sum("failed"), static_cast<int>(count));
+}
+
+// An answer that breaks off after it has begun ends so that the client can tell, and is not tried again.
+TEST_F(Stream, AnAnswerThatBreaksOffIsSeenToBeBroken) {
+    start_raw();
+    int number = 0;
+    for (const std::string& head :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(70000, 'a')),
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + std::string(70000, 'a'),
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + std::string(70000, 'a') +
+              "\r\nzz"}) {
+        std::list<RawPeer> peers;
+        peers.emplace_back(io, sidecar->address()).out = request("listen", "id-" + std::to_string(++number));
+        const std::size_t connections = servers.size();
+        move_until(peers, [&] { return servers.size() > connections && !servers.back().in.empty(); });
+        servers.back().out = head;
+        move_until(peers, [&] { return peers.front().in.size() > 60000 && servers.back().out.empty(); });
+        servers.back().socket.close();
+        move_until(peers, [&] { return peers.front().ended; });
+        EXPECT_EQ(peers.front().in.find("\r\n0\r\n"), std::string::npos);
+        until([&] { return sidecar->records() == 0; });
+        EXPECT_EQ(sum("failed"), number);
+    }
+    EXPECT_EQ(servers.size(), 3u) << "no second try";
+}
+
+// What is small and whole is kept: a try that breaks is followed by another.
+TEST_F(Stream, ASmallAnswerThatBreaksIsTriedAgain) {
+    start();
+    int turn = 0;
+    a.script = b.script = [&](const auto&) {
+        return ++turn == 1
+                   ? Reply{"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n" + std::string(40000, 'a'), true}
+                   : Reply{response("200 OK", std::string(50000, 'b'))};
+    };
+    EXPECT_EQ(ask(request("listen", "id-1")).body(), std::string(50000, 'b'));
+}
+
+// A body that is not kept any more can't be sent again, whatever its class allows.
+TEST_F(Stream, ALargeRequestHasNoSecondTryOnceItIsNotKept) {
+    start();
+    int turn = 0;
+    a.script = b.script = [&](const auto&) {
+        return Reply{++turn == 1 ? response("503 Full", "", "Not-Started: 1\r\n") : response("200 OK")};
+    };
+    std::list<RawPeer> peers;
+    peers.emplace_back(io, sidecar->address()).out = request("annotate", "id-1", 5000, pattern(1 << 20));
+    move_until(peers, [&] { return peers.front().in.find("\r\n\r\n") != std::string::npos; });
+    EXPECT_EQ(peers.front().in.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(turn, 1);
+    // Kept, it can.
+    turn = 0;
+    EXPECT_EQ(ask(request("annotate", "id-2", 5000, pattern(60000))).result_int(), 200u);
+    EXPECT_EQ(turn, 2);
+}
+
+// Its time counts from its last byte, however slowly that came.
+TEST_F(Stream, ASlowBodyIsGivenItsTimeAndTheAnswerTooFromItsLastByte) {
+    start_with_a();
+    TestClient& c = client();
+    const std::string body = pattern(100000), whole = request("deposit", "id-1", 250, body);
+    std::size_t sent = whole.size() - body.size();
+    c.send(whole.substr(0, sent));
+    asio::steady_timer pace(io);
+    while (sent < whole.size()) {  // 25 kB every 120 ms
+        bool due = false;
+        pace.expires_after(std::chrono::milliseconds(120));
+        pace.async_wait([&](error_code) { due = true; });
+        until([&] { return due; });
+        c.send(whole.substr(sent, 25000));
+        sent += 25000;
+    }
+    until([&] { return !c.answers.empty() || c.ended; });
+    ASSERT_EQ(c.answers.size(), 1u);
+    EXPECT_EQ(c.answers[0].result_int(), 200u);
+    EXPECT_EQ(a.requests.at(0).body(), body);
+}
+
+TEST_F(Stream, MoreThanTheLargestBodyIs413) {
+    start_with_a();
+    const std::string head = "POST /deposit HTTP/1.1\r\nRequest-Id: x\r\nRequest-Timeout-Ms: 900\r\n";
+    EXPECT_EQ(ask(head + "Content-Length: 33554433\r\n\r\n").result_int(), 413u);
+    EXPECT_EQ(ask(head + "Transfer-Encoding: chunked\r\n\r\n2000001\r\n").result_int(), 413u);
+    EXPECT_EQ(a.requests.size(), 0u);
+}
+
+TEST_F(Stream, AmbiguousFramingIs400) {
+    start_with_a();
+    const std::string head = "POST /deposit HTTP/1.1\r\nRequest-Id: x\r\nRequest-Timeout-Ms: 900\r\n";
+    for (const std::string& bad :
+         {std::string("Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"),
+          std::string("Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nhi\r\n0\r\n\r\n"),
+          std::string("Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!"),
+          std::string("Content-Length: 2, 3\r\n\r\nhi!"), std::string("Content-Length: +2\r\n\r\nhi"),
+          std::string("Transfer-Encoding: gzip\r\n\r\nhi"),
+          std::string("Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n2\r\nhix\r\n0\r\n\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n-2\r\nhi\r\n")}) {
+        TestClient& c = client();
+        c.send(head + bad);
+        until([&] { return c.ended; });
+        ASSERT_EQ(c.answers.size(), 1u) << bad;
+        EXPECT_EQ(c.answers[0].result_int(), 400u) << bad;
+    }
+    EXPECT_EQ(a.requests.size(), 0u);
+    EXPECT_EQ(sidecar->records(), 0u);
+}
+
+// The same request in every form, cut anywhere.
+TEST_F(Stream, EveryFormOfARequestIsTheSameRequest) {
+    start_with_a();
+    a.script = [](const auto& r) { return Reply{response("200 OK", "got " + r.body())}; };
+    const std::string head =
+        "/deposit HTTP/1.1\r\nHOST: app.svc\r\nrequest-ID: x\r\nRequest-timeout-MS: 5000\r\n";
+    for (const std::string& form :
+         {"POST " + head + "content-length: 5\r\n\r\nhello",
+          "\r\nPOST " + head + "Content-Length: 5\r\n\r\nhello",
+          "POST " + head + "Transfer-Encoding: CHUNKED\r\n\r\n2;a=b\r\nhe\r\n003\r\nllo\r\n0\r\nX: y\r\n\r\n",
+          "POST http://app.svc" + head + "Content-Length: 5\r\n\r\nhello"}) {
+        for (const std::size_t step : {form.size(), std::size_t{1}, std::size_t{7}}) {
+            TestClient& c = client();
+            for (std::size_t at = 0; at < form.size(); at += step) {
+                c.send(form.substr(at, step));
+                io.poll();
+            }
+            until([&] { return !c.answers.empty() || c.ended; });
+            ASSERT_EQ(c.answers.size(), 1u) << form;
+            EXPECT_EQ(c.answers[0].body(), "got hello") << form;
+            EXPECT_EQ(a.requests.back().target(), "/deposit");
+        }
+    }
+}
+
+TEST_F(Stream, AClientThatExpects100IsToldToGoOn) {
+    start_with_a();
+    std::list<RawPeer> peers;
+    RawPeer& peer = peers.emplace_back(io, sidecar->address());
+    const std::string whole = request("deposit", "id-1", 5000, "hello");
+    peer.out = whole.substr(0, whole.size() - 9) + "\r\nExpect: 100-Continue\r\n\r\n";
+    move_until(peers, [&] { return peer.in == "HTTP/1.1 100 Continue\r\n\r\n"; });
+    peer.out = "hello";
+    move_until(peers, [&] { return peer.in.find("200 OK") != std::string::npos; });
+    EXPECT_EQ(a.requests.at(0).body(), "hello");
+}
+
+TEST_F(Stream, PipelinedRequestsAreAnsweredInTheirOrder) {
+    start_with_a();
+    a.script = [](const auto& r) { return Reply{response("200 OK", std::string(r["Request-Id"]))}; };
+    TestClient& c = client();
+    c.send(request("deposit", "1", 5000, "hello") + request("listen", "2") +
+           request("deposit", "3", 5000, "x") + request("listen", "4").substr(0, 30));
+    until([&] { return c.answers.size() == 3; });
+    c.send(request("listen", "4").substr(30));
+    until([&] { return c.answers.size() == 4; });
+    for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(c.answers[i].body(), std::to_string(i + 1));
+}
+
+// Bodies that the connection's end delimits, where the head says so; interim answers; pieces.
+TEST_F(Stream, EveryFormOfAnAnswerIsServed) {
+    start_with_a();
+    int number = 0;
+    for (const Reply& reply :
+         {Reply{"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\nthe song", true},
+          Reply{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" +
+                response("200 OK", "the song")},
+          Reply{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nthe song\r\n0\r\nA: b\r\n\r\n"}}) {
+        a.script = [&](const auto&) { return reply; };
+        const auto answer = ask(request("listen", "id-" + std::to_string(++number)));
+        EXPECT_EQ(answer.result_int(), 200u);
+        EXPECT_EQ(answer.body(), "the song") << reply.bytes;
+    }
+}
+
+// Idle and half-sent connections make room for whole requests.
+TEST_F(Stream, ACrowdThatIdlesOrStopsHalfWayKeepsNobodyOut) {
+    start({{"s-a", a.address()}}, "40");  // eight clients at a time
+    std::vector<TestClient*> crowd;
+    for (int i = 0; i < 60; ++i) {
+        crowd.push_back(&client());
+        if (i % 2) crowd.back()->send("GET /listen HTTP/1.1\r\nHost");
+        if (i % 10 != 9) continue;
+        EXPECT_EQ(ask(request("listen", "id-" + std::to_string(i), 900)).result_int(), 200u);
+    }
+    EXPECT_EQ(a.requests.size(), 6u);
+}
+
+}  // namespace
+}  // namespace kestrelhall::net::test
