A small request has 2.4 s for all its pieces; the pace asked of a body starts after that

A trace at the limit: all in phase body, 0 to 853 bytes of it received, 0.70 to 0.73 s after the head. Ruled out: heads (none cut in that phase), large bodies, bodies that wait for room of ours (their limit was lifted). At fault: the pause and the pace counted from the head on, whatever the size. They now count from 2.4 s after the request's first byte (the first one's: after connecting), which keeps a peer that stops half way within 3 s.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -23,9 +23,8 @@
 namespace {
 
 constexpr Millis kAcceptPause = 20;     // when no descriptor is to be had
-constexpr Millis kLongestHead = 2500;   // from its first byte
-constexpr Millis kFirstRequest = 2400;  // of a head, from connecting, or whoever it is has come for nothing
-constexpr Millis kPause = 700;          // within a body
+constexpr Millis kFirstRequest = 2400;  // of a small request, the first one from connecting on
+constexpr Millis kPause = 700;          // within a larger body
 constexpr double kSlowestPace = 32;     // bytes in a millisecond, of a body
 constexpr Millis kStillReader = 10000;  // an answer of which no more is read is ended
 constexpr Millis kMayClose = 2000;      // clients expect no connection to be kept for longer
@@ -254,7 +253,8 @@
             parser_.emplace();
             parser_->header_limit(kHeaderLimit);
             parser_->body_limit(kLargestBody);
-            close_at(first_by_.value_or(Steady::now() + span(kLongestHead)));
+            began_ = first_by_ ? *first_by_ - span(kFirstRequest) : Steady::now();
+            close_at(began_ + span(kFirstRequest));
         }
         error_code error;
         std::size_t room = 0;
@@ -331,7 +331,7 @@
                 if (self->owner_) self->feed();
             });
         };
-        body_began_ = Steady::now();
+        body_began_ = began_;
         received_ = buffer_.size();
         body_timer();
         if (buffer_.size() > 0 || !expects_continue()) return true;
@@ -372,10 +372,12 @@
         owner_->callbacks_.arrived(std::move(*arrival));
     }
 
-    // A body has to come on: no long pause within it, and at half the slowest writer's pace on the whole.
+    // A small request may take its time whatever its pieces; a larger body has to come on after that, without
+    // a long pause and at half the slowest writer's pace on the whole.
     void body_timer() {
-        const auto paced = body_began_ + span(kPause + static_cast<double>(received_) / kSlowestPace);
-        close_at(std::min(Steady::now() + span(kPause), paced));
+        const auto small = body_began_ + span(kFirstRequest);
+        const auto paced = small + span(static_cast<double>(received_) / kSlowestPace);
+        close_at(std::max(small, std::min(Steady::now() + span(kPause), paced)));
     }
 
     void reject(http::status status) {
@@ -507,7 +509,7 @@
     RequestId id_ = 0;
     unsigned version_ = 11;
     std::uint64_t received_ = 0;
-    Steady::time_point since_, body_began_, due_, finish_by_;
+    Steady::time_point since_, began_, body_began_, due_, finish_by_;
     std::optional<Steady::time_point> first_by_;  // none: it has sent a request
     bool keep_ = true, stays_ = true, waiting_ = false, writing_ = false, ending_ = false,
          until_close_ = false;
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -250,6 +250,24 @@
     EXPECT_EQ(a.requests.at(0).body(), body);
 }
 
+// A small request may come in pieces with pauses between them, for two seconds in all.
+TEST_F(Stream, ASmallRequestInPiecesIsNotCutOff) {
+    start_with_a();
+    TestClient& c = client();
+    const std::string whole = request("deposit", "id-1", 250, "hello");
+    asio::steady_timer pace(io);
+    for (const std::size_t from : {whole.size() - 5, whole.size() - 3, whole.size() - 1}) {
+        c.send(from + 5 == whole.size() ? whole.substr(0, from + 2) : whole.substr(from, 2));
+        bool due = from + 1 == whole.size();
+        pace.expires_after(std::chrono::milliseconds(900));
+        pace.async_wait([&](error_code) { due = true; });
+        until([&] { return due || c.ended; });
+    }
+    until([&] { return !c.answers.empty() || c.ended; });
+    ASSERT_EQ(c.answers.size(), 1u);
+    EXPECT_EQ(c.answers[0].result_int(), 200u);
+}
+
 TEST_F(Stream, MoreThanTheLargestBodyIs413) {
     start_with_a();
     const std::string head = "POST /deposit HTTP/1.1\r\nRequest-Id: x\r\nRequest-Timeout-Ms: 900\r\n";
