Admission judges no mean before ten answers: one alone shows no scatter

A trace at each refusal: room 20 to 50, all servers warm and live, out about half of the room, no cold server. Ruled out: the halved limits (the room's floor was never reached), cold buckets (no cold server), a list without servers. At fault: NoisyMean::error was 0 after the first answer, whose weight was 1, and the time since the one before counted as a whole second: one late first answer took the room from 1000 to twice what was out, times 0.45 at worst. Now the first ten weigh alike and nothing is judged before them.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -402,7 +402,7 @@
         for (Mean* pooled : {&kind_pace[s.info.kind], &place_pace[{s.info.zone, s.info.kind}]})
             pooled->add(ratio, now, 5 * kSamples, 4 * kRateMemory);
         if (is_cold(s)) return cold_pace.add(ratio, now, kSamples, kRateMemory);  // nothing of the pool
-        const Millis since = std::min(now - crowding.at, 1000.0);
+        const Millis since = std::min(now - crowding.known_at, 1000.0);
         crowding.add(ratio, now, kSamples, kRateMemory);
         // A cut at each chance peak of a mean of so few would keep a light sidecar well below the mark.
         const double noise = crowding.error(kSamples);
--- a/src/support.hpp
+++ b/src/support.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 
 #include "kestrelhall/balancer.hpp"
 
@@ -43,11 +44,17 @@
 // One that knows how far it lies off by chance.
 struct NoisyMean : Mean {
     Mean squares;
+    double count = 0;
+    Millis known_at = -1e9;  // of the last that came with enough before it
     void add(double sample, Millis now, double samples, Millis memory) {
-        Mean::add(sample, now, samples, memory);
-        squares.add(sample * sample, now, samples, memory);
+        const double weighed = std::min(samples, ++count);  // the first few weigh alike
+        Mean::add(sample, now, weighed, memory);
+        squares.add(sample * sample, now, weighed, memory);
+        if (count >= samples) known_at = now;
     }
+    // Boundless until there are as many: a mean of one would show no scatter at all.
     double error(double samples) const {
+        if (count < samples) return std::numeric_limits<double>::infinity();
         return std::sqrt(std::max(0.0, squares.value - value * value) / (2 * samples - 1));
     }
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -339,6 +339,14 @@
     EXPECT_EQ(rig.still_out(rig.burst(8)), 8);
 }
 
+// Found on upgrades: each process that starts anew had its room cut to twice what was out by its first answers.
+TEST(Admission, AFreshSidecarIsNotCutByItsFirstAnswers) {
+    Rig rig(make_settings());
+    rig.list(ListKind::full, make_servers(8));
+    rig.serve(rig.burst(3), 700);
+    EXPECT_EQ(rig.still_out(rig.burst(40)), 40);
+}
+
 // Crowds a rig: answers take nearly twice the aim for a while.
 void crowd(Rig& rig, int count = 100) {
     for (int round = 0; round < 6; ++round) {
