No lock where the system chooses the clients' port: nobody else has that address

At fault: processes with port 0 shared one lock file, "...-0.lives", saw each other as the second process of an upgrade and took half of the limits.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -74,9 +74,12 @@
         } catch (const boost::system::system_error& error) {
             throw ConfigError("'operator' can't be listened on: " + error.code().message());
         }
-        twin_.emplace(std::filesystem::temp_directory_path().string(),
-                      config_.listen.address().to_string() + "-" + std::to_string(config_.listen.port()));
-        watch_twin();
+        // An address of the system's choice is nobody else's.
+        if (config_.listen.port() != 0) {
+            twin_.emplace(std::filesystem::temp_directory_path().string(),
+                          config_.listen.address().to_string() + "-" + std::to_string(config_.listen.port()));
+            watch_twin();
+        }
     }
     const bool asked = config_.site.settings.list_on_request;
     discovery_.emplace(io, config_.discovery, config_.known.version, !asked,
