Layout by layer: src/policy, src/node, src/wire; namespace and program named mothring

Need: the product grows by layers (policy, node, cluster, lab), and the issue asks the layout to show them before any new part lands, with the namespace mothring.

No logic changed: the twin's lock file and the log prefix keep their text.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -1,4 +1,4 @@
-// kestrelhall: the decisions of a sidecar balancer, without I/O and without a clock.
+// mothring: the decisions of a sidecar balancer, without I/O and without a clock.
 //
 // One Balancer serves one sidecar. Feed it every event in order with the time at which it happened and carry
 // out the actions it appends, in their order, at that same time. Times are milliseconds on any clock that
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace kestrelhall {
+namespace mothring {
 
 using Millis = double;
 using ServerId = std::uint32_t;
@@ -219,4 +219,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,22 +7,22 @@
 #include <iterator>
 #include <string>
 
-#include "net/config.hpp"
-#include "net/log.hpp"
-#include "net/sidecar.hpp"
+#include "node/config.hpp"
+#include "node/log.hpp"
+#include "node/sidecar.hpp"
 
 namespace {
 
-kestrelhall::net::Config configuration() {
+mothring::node::Config configuration() {
     const char* const path = std::getenv("LB_CONFIG");
-    if (!path) throw kestrelhall::net::ConfigError("'LB_CONFIG' is not set");
+    if (!path) throw mothring::node::ConfigError("'LB_CONFIG' is not set");
     std::ifstream file(path, std::ios::binary);
     if (!file)
-        throw kestrelhall::net::ConfigError("'LB_CONFIG' names a file that can't be read: " +
-                                            std::string(path));
-    auto config = kestrelhall::net::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
+        throw mothring::node::ConfigError("'LB_CONFIG' names a file that can't be read: " +
+                                          std::string(path));
+    auto config = mothring::node::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
     if (const char* const text = std::getenv("LB_OPERATOR"); text && *text && !config.operators)
-        config.operators = kestrelhall::net::read_address(text, "LB_OPERATOR");
+        config.operators = mothring::node::read_address(text, "LB_OPERATOR");
     return config;
 }
 
@@ -31,7 +31,7 @@
 int main() {
     try {
         boost::asio::io_context io(1);
-        kestrelhall::net::Sidecar sidecar(io, configuration());
+        mothring::node::Sidecar sidecar(io, configuration());
         boost::asio::signal_set signals(io, SIGTERM, SIGINT);
         signals.async_wait([&](boost::system::error_code failed, int) {
             if (!failed) sidecar.drain([&] { io.stop(); });
@@ -44,7 +44,7 @@
                 try {
                     sidecar.reconfigure(configuration());
                 } catch (const std::exception& error) {  // what it has goes on serving
-                    kestrelhall::net::log_line(std::string("SIGHUP: ") + error.what());
+                    mothring::node::log_line(std::string("SIGHUP: ") + error.what());
                 }
             });
         };
@@ -52,7 +52,7 @@
         while (!io.stopped()) try {
                 io.run();
             } catch (const std::exception& error) {  // what one connection threw does not end the others
-                kestrelhall::net::log_line(error.what());
+                mothring::node::log_line(error.what());
             }
     } catch (const std::exception& error) {
         std::cerr << "whinledge: " << error.what() << '\n';
--- a/src/net/clock.hpp
+++ b/src/node/clock.hpp
@@ -4,9 +4,9 @@
 
 #include <chrono>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Clock {
 public:
@@ -34,4 +34,4 @@
     return std::chrono::microseconds(static_cast<std::int64_t>(length * 1000));
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/config.cpp
+++ b/src/node/config.cpp
@@ -1,9 +1,9 @@
-#include "net/config.hpp"
+#include "node/config.hpp"
 
 #include <map>
 #include <nlohmann/json.hpp>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace {
 
@@ -161,4 +161,4 @@
 
 MemberList read_members(std::string_view json) { return members(read_object(json)); }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/config.hpp
+++ b/src/node/config.hpp
@@ -12,7 +12,7 @@
 
 #include "site.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 using Tcp = boost::asio::ip::tcp;
 using Udp = boost::asio::ip::udp;
@@ -63,4 +63,4 @@
 // Discovery's form of a list; throws ConfigError.
 MemberList read_members(std::string_view json);
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,4 +1,4 @@
-#include "net/discovery.hpp"
+#include "node/discovery.hpp"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -6,11 +6,11 @@
 #include <optional>
 #include <utility>
 
-#include "net/clock.hpp"
-#include "net/log.hpp"
-#include "net/message.hpp"
+#include "node/clock.hpp"
+#include "node/log.hpp"
+#include "node/message.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -166,4 +166,4 @@
     });
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -7,9 +7,9 @@
 #include <memory>
 #include <string>
 
-#include "net/config.hpp"
+#include "node/config.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Discovery {
 public:
@@ -44,4 +44,4 @@
     bool active_ = false, told_ = false;
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/front.cpp
+++ b/src/node/front.cpp
@@ -1,4 +1,4 @@
-#include "net/front.hpp"
+#include "node/front.hpp"
 
 #include <linux/filter.h>
 #include <sys/socket.h>
@@ -10,11 +10,11 @@
 #include <utility>
 #include <vector>
 
-#include "net/clock.hpp"
-#include "net/message.hpp"
+#include "node/clock.hpp"
+#include "node/message.hpp"
 #include "site.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -643,4 +643,4 @@
     if (clients_.empty() && callbacks_.drained) asio::post(io_, callbacks_.drained);
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/front.hpp
+++ b/src/node/front.hpp
@@ -11,11 +11,11 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "kestrelhall/balancer.hpp"
-#include "net/config.hpp"
-#include "net/pipe.hpp"
+#include "mothring/balancer.hpp"
+#include "node/config.hpp"
+#include "node/pipe.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Front {
 public:
@@ -83,4 +83,4 @@
     bool draining_ = false, accepting_ = false;
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/log.hpp
+++ b/src/node/log.hpp
@@ -4,8 +4,8 @@
 #include <iostream>
 #include <string_view>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 inline void log_line(std::string_view text) { std::cerr << "whinledge: " << text << '\n'; }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -1,8 +1,8 @@
-#include "net/metrics.hpp"
+#include "node/metrics.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 void Metrics::ended(std::size_t class_index, Ending ending) {
     Class& c = classes.at(class_index);
@@ -21,4 +21,4 @@
     return all.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 enum class Ending { served, refused, failed };
 
@@ -33,4 +33,4 @@
 
 std::string render(const Metrics& metrics);
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/operator.cpp
+++ b/src/node/operator.cpp
@@ -1,14 +1,14 @@
-#include "net/operator.hpp"
+#include "node/operator.hpp"
 
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include "net/clock.hpp"
-#include "net/message.hpp"
+#include "node/clock.hpp"
+#include "node/message.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -146,4 +146,4 @@
     CallPtr(holder == calls_.end() ? calls_.front() : *holder)->close();
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/operator.hpp
+++ b/src/node/operator.hpp
@@ -9,9 +9,9 @@
 #include <memory>
 #include <string>
 
-#include "net/config.hpp"
+#include "node/config.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class OperatorListener {
 public:
@@ -44,4 +44,4 @@
     std::list<CallPtr> calls_;         // the longest here first
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/peers.cpp
+++ b/src/node/peers.cpp
@@ -1,11 +1,11 @@
-#include "net/peers.hpp"
+#include "node/peers.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 
-#include "net/log.hpp"
+#include "node/log.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 using boost::system::error_code;
 
@@ -37,4 +37,4 @@
                                });
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/peers.hpp
+++ b/src/node/peers.hpp
@@ -8,9 +8,9 @@
 #include <optional>
 #include <vector>
 
-#include "net/config.hpp"
+#include "node/config.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Peers {
 public:
@@ -36,4 +36,4 @@
     std::array<std::uint8_t, kLongest + 1> buffer_{};  // one more than a message may have
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/pipe.hpp
+++ b/src/node/pipe.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 // What all buffers of a sidecar may hold together. Beyond it each still gets kLeast, so that all go on.
 struct Budget {
@@ -95,4 +95,4 @@
     bool kept_ = true, whole_ = false, broken_ = false;
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -1,4 +1,4 @@
-#include "net/sidecar.hpp"
+#include "node/sidecar.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -7,10 +7,10 @@
 #include <filesystem>
 #include <utility>
 
-#include "net/log.hpp"
-#include "net/message.hpp"
+#include "node/log.hpp"
+#include "node/message.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -494,4 +494,4 @@
     });
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -15,17 +15,17 @@
 #include <variant>
 #include <vector>
 
-#include "net/clock.hpp"
-#include "net/config.hpp"
-#include "net/discovery.hpp"
-#include "net/front.hpp"
-#include "net/metrics.hpp"
-#include "net/operator.hpp"
-#include "net/peers.hpp"
-#include "net/twin.hpp"
-#include "net/upstream.hpp"
+#include "node/clock.hpp"
+#include "node/config.hpp"
+#include "node/discovery.hpp"
+#include "node/front.hpp"
+#include "node/metrics.hpp"
+#include "node/operator.hpp"
+#include "node/peers.hpp"
+#include "node/twin.hpp"
+#include "node/upstream.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Sidecar {
 public:
@@ -153,4 +153,4 @@
     std::function<void()> drained_;
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/twin.cpp
+++ b/src/node/twin.cpp
@@ -1,4 +1,4 @@
-#include "net/twin.hpp"
+#include "node/twin.hpp"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -6,9 +6,9 @@
 #include <cerrno>
 #include <cstring>
 
-#include "net/log.hpp"
+#include "node/log.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace {
 
@@ -46,4 +46,4 @@
     return file_ >= 0 && ::fcntl(file_, F_OFD_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/twin.hpp
+++ b/src/node/twin.hpp
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 class Twin {
 public:
@@ -21,4 +21,4 @@
     int file_ = -1;
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -1,4 +1,4 @@
-#include "net/upstream.hpp"
+#include "node/upstream.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -7,11 +7,11 @@
 #include <optional>
 #include <utility>
 
-#include "net/clock.hpp"
-#include "net/log.hpp"
-#include "net/message.hpp"
+#include "node/clock.hpp"
+#include "node/log.hpp"
+#include "node/message.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -521,4 +521,4 @@
     std::erase_if(server->second.idle, [&](const ConnectionPtr& c) { return c.get() == &connection; });
 }
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/net/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -10,11 +10,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "kestrelhall/balancer.hpp"
-#include "net/config.hpp"
-#include "net/pipe.hpp"
+#include "mothring/balancer.hpp"
+#include "node/config.hpp"
+#include "node/pipe.hpp"
 
-namespace kestrelhall::net {
+namespace mothring::node {
 
 using ExchangeId = std::uint64_t;
 
@@ -87,4 +87,4 @@
     std::shared_ptr<Stats> stats_ = std::make_shared<Stats>();
 };
 
-}  // namespace kestrelhall::net
+}  // namespace mothring::node
--- a/src/balance.cpp
+++ b/src/policy/balance.cpp
@@ -1,4 +1,4 @@
-// Every decision of kestrelhall. The interface is include/kestrelhall/balancer.hpp.
+// Every decision of mothring. The interface is include/mothring/balancer.hpp.
 //
 // The path of a request: on(RequestArrived) takes it and sets its timer; place() sheds it if it can't be
 // answered any more, looks for room (admission) and for a server: one whose backoff is over gets it as
@@ -14,11 +14,11 @@
 #include <unordered_map>
 #include <utility>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 #include "state.hpp"
 #include "support.hpp"
 
-namespace kestrelhall {
+namespace mothring {
 
 namespace {
 
@@ -669,4 +669,4 @@
             avoided(impl_->servers, impl_->lost, impl_->now, kLost, kBackoff)};
 }
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/settings.cpp
+++ b/src/policy/settings.cpp
@@ -5,12 +5,12 @@
 
 #include "support.hpp"
 
-namespace kestrelhall {
+namespace mothring {
 
 namespace {
 
 void check(bool sound, const std::string& setting) {
-    if (!sound) throw std::invalid_argument("kestrelhall: setting makes no sense: " + setting);
+    if (!sound) throw std::invalid_argument("mothring: setting makes no sense: " + setting);
 }
 void check_time(Millis value, const std::string& name) { check(std::isfinite(value) && value >= 0, name); }
 
@@ -41,4 +41,4 @@
     check_time(s.fees.cross_zone, "fees.cross_zone");
 }
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/site.cpp
+++ b/src/policy/site.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace kestrelhall {
+namespace mothring {
 
 namespace {
 
@@ -126,4 +126,4 @@
     return site;
 }
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/site.hpp
+++ b/src/policy/site.hpp
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 
-namespace kestrelhall {
+namespace mothring {
 
 // The whole text as a number, in the base given for whole ones; false where it is none.
 template <class T, class... Base>
@@ -72,4 +72,4 @@
 };
 Site read_site(const Fields& settings);
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/state.hpp
+++ b/src/policy/state.hpp
@@ -8,7 +8,7 @@
 
 #include "support.hpp"
 
-namespace kestrelhall {
+namespace mothring {
 
 // Whether an optional list has no say or names the value.
 template <class T>
@@ -159,4 +159,4 @@
     return r.kind.dedup_scope == DedupScope::zone ? a.to.zone == s.zone : a.to.cell == s.cell;
 }
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/support.hpp
+++ b/src/policy/support.hpp
@@ -6,9 +6,9 @@
 #include <cstdint>
 #include <limits>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 
-namespace kestrelhall {
+namespace mothring {
 
 // Throws std::invalid_argument naming the setting that makes no sense.
 void validate(const Settings& settings);
@@ -100,4 +100,4 @@
 // How many are out at most as a rule where they come by chance: with a small mean far more than that.
 inline double usual_peak(double mean) { return mean + 2 * std::sqrt(mean) + 1; }
 
-}  // namespace kestrelhall
+}  // namespace mothring
--- a/src/wire.cpp
+++ b/src/wire/wire.cpp
@@ -5,7 +5,7 @@
 #include <istream>
 #include <ostream>
 
-namespace kestrelhall::wire {
+namespace mothring::wire {
 
 namespace {
 
@@ -158,7 +158,7 @@
             batch(mark);
         }
     } catch (const WireError& error) {
-        err_ << "kestrelhall_adapter: " << error.what() << '\n';
+        err_ << "mothring_adapter: " << error.what() << '\n';
         return 2;
     }
     return 0;
@@ -188,7 +188,7 @@
     if (std::find(known.begin(), known.end(), kind) == known.end()) {
         if (std::find(unknown_kinds_.begin(), unknown_kinds_.end(), kind) == unknown_kinds_.end()) {
             unknown_kinds_.emplace_back(kind);
-            err_ << "kestrelhall_adapter: line " << line_ << ": unknown event " << kind << " skipped\n";
+            err_ << "mothring_adapter: line " << line_ << ": unknown event " << kind << " skipped\n";
         }
         return;
     }
@@ -382,4 +382,4 @@
     reply_ += '\n';
 }
 
-}  // namespace kestrelhall::wire
+}  // namespace mothring::wire
--- a/src/wire.hpp
+++ b/src/wire/wire.hpp
@@ -13,7 +13,7 @@
 
 #include "site.hpp"
 
-namespace kestrelhall::wire {
+namespace mothring::wire {
 
 using WireError = FieldError;  // names line number, message and field
 
@@ -75,4 +75,4 @@
     std::vector<Action> actions_;
 };
 
-}  // namespace kestrelhall::wire
+}  // namespace mothring::wire
--- a/src/wirehost.cpp
+++ b/src/wire/wirehost.cpp
@@ -5,5 +5,5 @@
 
 int main() {
     std::ios::sync_with_stdio(false);
-    return kestrelhall::wire::Host(std::cin, std::cout, std::cerr).run();
+    return mothring::wire::Host(std::cin, std::cout, std::cerr).run();
 }
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -4,7 +4,7 @@
 
 #include "rig.hpp"
 
-namespace kestrelhall::test {
+namespace mothring::test {
 namespace {
 
 // Sends one request and ends it so; returns the server that got it. Fails the test if it was not sent.
@@ -1149,4 +1149,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::test
+}  // namespace mothring::test
--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -1,10 +1,10 @@
-// How a sidecar uses kestrelhall: feed events with their time, carry out the actions. Here one request is
+// How a sidecar uses mothring: feed events with their time, carry out the actions. Here one request is
 // taken, sent, fails before it ran, is sent elsewhere and served.
 #include <iostream>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 
-using namespace kestrelhall;
+using namespace mothring;
 
 int main() {
     Settings settings;
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -14,9 +14,9 @@
 #include <string>
 #include <vector>
 
-#include "net/sidecar.hpp"
+#include "node/sidecar.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -237,4 +237,4 @@
     }
 };
 
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -3,7 +3,7 @@
 
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 using Json = nlohmann::json;
@@ -182,4 +182,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -8,7 +8,7 @@
 
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 const std::string good =
@@ -73,7 +73,7 @@
         ::setenv("TMPDIR", folder.c_str(), 1);
         if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
         for (int file = 3; file < 1024; ++file) ::close(file);  // the test's connections are its own
-        ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
+        ::execl(MOTHRING_BIN, MOTHRING_BIN, static_cast<char*>(nullptr));
         ::_exit(127);
     }
     static int status_of(pid_t child) {
@@ -301,4 +301,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -10,9 +10,9 @@
 #include <set>
 #include <vector>
 
-#include "kestrelhall/balancer.hpp"
+#include "mothring/balancer.hpp"
 
-namespace kestrelhall::test {
+namespace mothring::test {
 
 inline RequestClass make_class(Effect effect, DedupScope scope = DedupScope::all, Millis window = 3000) {
     RequestClass c;
@@ -261,4 +261,4 @@
     }
 };
 
-}  // namespace kestrelhall::test
+}  // namespace mothring::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -2,7 +2,7 @@
 // The sequences pick outcomes at random; no server is modelled here.
 #include "rig.hpp"
 
-namespace kestrelhall::test {
+namespace mothring::test {
 namespace {
 
 class Dice {
@@ -294,4 +294,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::test
+}  // namespace mothring::test
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -3,7 +3,7 @@
 
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 using Net = NetRig;
@@ -404,4 +404,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -3,7 +3,7 @@
 
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 std::string pattern(std::size_t size) {
@@ -378,4 +378,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/twin_test.cpp
+++ b/tests/twin_test.cpp
@@ -1,12 +1,12 @@
 // Whether two of them see each other, by the kernel's locks alone.
-#include "net/twin.hpp"
+#include "node/twin.hpp"
 
 #include <filesystem>
 #include <memory>
 
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 TEST(Twins, SeeEachOtherWhileBothLive) {
@@ -51,4 +51,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,7 +1,7 @@
 // How each exchange with a server ends, by the protocol's table, and which connection it is given.
 #include "net_rig.hpp"
 
-namespace kestrelhall::net::test {
+namespace mothring::node::test {
 namespace {
 
 constexpr ServerId kServer = 7;
@@ -227,4 +227,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::net::test
+}  // namespace mothring::node::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include <sstream>
 
-namespace kestrelhall::wire {
+namespace mothring::wire {
 namespace {
 
 const std::string start_line =
@@ -229,4 +229,4 @@
 }
 
 }  // namespace
-}  // namespace kestrelhall::wire
+}  // namespace mothring::wire
