Command line (CLI11), TOML options (toml++) and JSON log lines (spdlog)

Way not taken: a JSON formatter of spdlog's own (none in Debian's 1.10); the object is built by nlohmann and spdlog adds time and level.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -157,7 +157,7 @@
         if (list->full || !list->members.empty()) callbacks_.changed(std::move(*list));
         return;
     }
-    if (!std::exchange(told_, true)) log_line("discovery: " + why);
+    if (!std::exchange(told_, true)) log(spdlog::level::warn, "discovery.failed", {{"why", why}});
     if (!persistent_ || fetched) return callbacks_.failed();
     timer_.expires_after(span(backoff_));
     backoff_ = std::min(2 * backoff_, kLongestBackoff);
--- a/src/node/log.hpp
+++ b/src/node/log.hpp
@@ -1,11 +1,45 @@
-// The sidecar's log: whole lines on standard error.
+// The sidecar's log, through spdlog: one JSON object a line on standard error,
+//   {"ts":"2026-12-01T21:00:00.123Z","level":"info","event":"part.what","sidecar":"NAME", ...fields}
+// `ts` is UTC with milliseconds; `level` is spdlog's name (trace, debug, info, warning, error, critical);
+// `event` is named `part.what` (see the layers' conventions); the fields are the event's own.
 #pragma once
 
-#include <iostream>
+#include <spdlog/common.h>
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 namespace mothring::node {
 
-inline void log_line(std::string_view text) { std::cerr << "whinledge: " << text << '\n'; }
+using LogFields = nlohmann::json;
+using LogLevel = spdlog::level::level_enum;
+
+// Sets the name every line carries and the least level written. Safe to call again (a reload); before
+// the first call lines carry no name and the level is info.
+void log_start(std::string sidecar, LogLevel level);
+
+// Writes one line if `level` is at or above the level set. `fields` must be a JSON object (anything
+// else goes under "value"). Never throws: a line that can't be written is lost, not the caller's work.
+void log(LogLevel level, std::string_view event, LogFields fields = LogFields::object());
+
+// A log for a hot path: at most one line each `every`; the lines passed over in between are counted in
+// the next line's field "skipped". Single-threaded, as the sidecar's one io_context is.
+class LogLimit {
+public:
+    explicit LogLimit(std::chrono::milliseconds every) : every_(every) {}
+    void log(LogLevel level, std::string_view event, LogFields fields = LogFields::object());
+
+private:
+    std::chrono::milliseconds every_;
+    std::chrono::steady_clock::time_point last_{};
+    bool any_ = false;
+    std::uint64_t skipped_ = 0;
+};
+
+// "trace", "debug", "info", "warn" or "warning", "error", "critical", "off"; nullopt for any other.
+std::optional<LogLevel> log_level(std::string_view name);
 
 }  // namespace mothring::node
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -18,7 +18,7 @@
 
 void Peers::tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
     if (bytes.size() > kLongest || (to ? *to >= peers_.size() : !all_))
-        return log_line("a peer message not sent");
+        return log(spdlog::level::warn, "peer.not_sent", {{"bytes", bytes.size()}});
     error_code lost;  // as any datagram may be
     socket_.send_to(boost::asio::buffer(bytes), to ? peers_[*to] : *all_, 0, lost);
 }
@@ -29,7 +29,8 @@
                                    if (failed == boost::asio::error::operation_aborted) return;
                                    const auto from = std::find(peers_.begin(), peers_.end(), sender_);
                                    if (!failed && (size > kLongest || from == peers_.end()))
-                                       log_line("a datagram that is no peer's message");
+                                       stray_.log(spdlog::level::warn, "peer.stray_datagram",
+                                                  {{"bytes", size}, {"from", sender_.address().to_string()}});
                                    else if (!failed)
                                        received_(static_cast<std::uint32_t>(from - peers_.begin()),
                                                  {buffer_.begin(), buffer_.begin() + size});
--- a/src/node/peers.hpp
+++ b/src/node/peers.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "node/config.hpp"
+#include "node/log.hpp"
 
 namespace mothring::node {
 
@@ -33,6 +34,7 @@
     std::optional<Udp::endpoint> all_;
     Received received_;
     Udp::endpoint sender_;
+    LogLimit stray_{std::chrono::seconds(1)};          // a flood of strays writes a line a second
     std::array<std::uint8_t, kLongest + 1> buffer_{};  // one more than a message may have
 };
 
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -128,8 +128,8 @@
 void Sidecar::watch_twin() {
     if (const bool other = twin_->other_lives(); other != halved_) {
         halved_ = other;
-        log_line(other ? "another process of this sidecar lives: half of the limits each"
-                       : "the only process of this sidecar: all of the limits");
+        log(spdlog::level::info, other ? "twin.present" : "twin.alone",
+            {{"limits", other ? "half of the limits each" : "all of the limits"}});
         budget_->limit = buffers();
         upstream_.limit_connections(half(sockets()));
         if (front_) front_->limit_clients(half(sockets()));
@@ -156,8 +156,9 @@
 
 void Sidecar::reconfigure(const Config& config) {
     if (config.discovery == config_.discovery) return;
-    log_line("discovery has moved to " + config.discovery.address().to_string() + ":" +
-             std::to_string(config.discovery.port()));
+    log(spdlog::level::info, "discovery.moved",
+        {{"address",
+          config.discovery.address().to_string() + ":" + std::to_string(config.discovery.port())}});
     config_.discovery = config.discovery;
     discovery_->move(config.discovery);
 }
@@ -187,7 +188,7 @@
             balancer_.handle(clock_.now(), next, actions_);
             for (const Action& action : actions_) carry_out(action);
         } catch (const std::exception& error) {  // out of memory, say: costs this event and no other
-            log_line(std::string("an event failed: ") + error.what());
+            log(spdlog::level::err, "event.failed", {{"error", error.what()}});
         }
     }
     handling_ = false;
@@ -203,31 +204,31 @@
 
 void Sidecar::carry_out(const Action& action) {
     std::visit(
-        Overloaded{[&](const Send& a) { carry_out(a); }, [&](const Cancel& a) { carry_out(a); },
-                   [&](const Refuse& a) {
-                       Front::Answer refusal(http::status::service_unavailable, 11);
-                       if (a.retry_in > 0)
-                           refusal.set(http::field::retry_after, decimal(a.retry_in / 1000, "%.3f"));
-                       answer(a.id, std::move(refusal));
-                   },
-                   [&](const GiveUp& a) {
-                       const auto at = requests_.find(a.id);
-                       const bool late = at != requests_.end() && clock_.now() >= at->second.deadline;
-                       answer(a.id,
-                              Front::Answer(late ? http::status::gateway_timeout : http::status::bad_gateway,
-                                            11));
-                   },
-                   [&](const SetTimer& a) { due(a.at, a.token); }, [&](const Probe& a) { probe(a.server); },
-                   [&](const CloseIdle& a) { upstream_.close_idle(a.server); },
-                   [&](const TellPeer& a) {
-                       if (peers_) peers_->tell(a.to, a.bytes);
-                   },
-                   [&](const Subscribe& a) { discovery_->watch(a.active); },
-                   [&](const FetchList&) { discovery_->fetch(); },
-                   [&](const Log& a) {
-                       const auto server = servers_.find(a.server.value_or(0));
-                       log_line((server == servers_.end() ? "" : server->second.name + " ") + a.text);
-                   }},
+        Overloaded{
+            [&](const Send& a) { carry_out(a); }, [&](const Cancel& a) { carry_out(a); },
+            [&](const Refuse& a) {
+                Front::Answer refusal(http::status::service_unavailable, 11);
+                if (a.retry_in > 0) refusal.set(http::field::retry_after, decimal(a.retry_in / 1000, "%.3f"));
+                answer(a.id, std::move(refusal));
+            },
+            [&](const GiveUp& a) {
+                const auto at = requests_.find(a.id);
+                const bool late = at != requests_.end() && clock_.now() >= at->second.deadline;
+                answer(a.id,
+                       Front::Answer(late ? http::status::gateway_timeout : http::status::bad_gateway, 11));
+            },
+            [&](const SetTimer& a) { due(a.at, a.token); }, [&](const Probe& a) { probe(a.server); },
+            [&](const CloseIdle& a) { upstream_.close_idle(a.server); },
+            [&](const TellPeer& a) {
+                if (peers_) peers_->tell(a.to, a.bytes);
+            },
+            [&](const Subscribe& a) { discovery_->watch(a.active); },
+            [&](const FetchList&) { discovery_->fetch(); },
+            [&](const Log& a) {
+                const auto server = servers_.find(a.server.value_or(0));
+                log(spdlog::level::info, "policy.note",
+                    {{"server", server == servers_.end() ? "" : server->second.name}, {"text", a.text}});
+            }},
         action);
 }
 
--- a/src/node/twin.cpp
+++ b/src/node/twin.cpp
@@ -32,7 +32,7 @@
         struct flock lock = lock_on(byte, 1);
         if (::fcntl(file_, F_OFD_SETLK, &lock) == 0) return;
     }
-    log_line("no lock in " + path + ": " + std::strerror(errno));
+    log(spdlog::level::warn, "twin.no_lock", {{"path", path}, {"error", std::strerror(errno)}});
     if (file_ >= 0) ::close(file_);
     file_ = -1;
 }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -19,6 +19,12 @@
 
 namespace {
 
+// Answers that are not HTTP come from a server in bulk: a line a second tells of them.
+LogLimit& not_http_log() {
+    static LogLimit limit(std::chrono::seconds(1));
+    return limit;
+}
+
 // What an answer tells, by the protocol's table. An error without the proof may have run; a 4xx is the
 // request's own, but for those that ask for another try.
 template <class Message>
@@ -350,7 +356,8 @@
     }
 
     void broke(error_code why) {
-        if (malformed(why)) log_line("an answer that is not HTTP: " + why.message());
+        if (malformed(why))
+            not_http_log().log(spdlog::level::warn, "upstream.not_http", {{"why", why.message()}});
         // The proof that it never ran stands in the header.
         if (parser_ && parser_->is_header_done() && parser_->get().result_int() != 200) return answered();
         if (!writing_) return fail(written_);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "net_rig.hpp"
+#include "node/options.hpp"
 
 namespace mothring::node::test {
 namespace {
@@ -76,6 +77,18 @@
         ::execl(MOTHRING_BIN, MOTHRING_BIN, static_cast<char*>(nullptr));
         ::_exit(127);
     }
+    // Runs `mothring check-config FILE` on a TOML text; its exit status.
+    int check(const std::string& toml) {
+        std::ofstream(folder / "sidecar.toml") << toml;
+        const pid_t child = ::fork();
+        if (child != 0) return status_of(child);
+        ::unsetenv("LB_CONFIG");
+        if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
+        if (!std::freopen("/dev/null", "w", stdout)) ::_exit(126);
+        ::execl(MOTHRING_BIN, MOTHRING_BIN, "check-config", (folder / "sidecar.toml").c_str(),
+                static_cast<char*>(nullptr));
+        ::_exit(127);
+    }
     static int status_of(pid_t child) {
         int status = 0;
         ::waitpid(child, &status, 0);
@@ -83,6 +96,31 @@
     }
 };
 
+TEST(Options, NameTheKeyTheLineAndTheExpectedType) {
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"[log]\nlevel = 3\n", "o.toml:2: 'log.level' expects a string"},
+        {"[log]\nlevel = \"loud\"\n", "o.toml:2: 'log.level' is not one of"},
+        {"\n[sidecar]\noperater = \"127.0.0.1:1\"\n", "o.toml:3: 'sidecar.operater' is not a known key"},
+        {"[sidecar]\noperator = \"there\"\n", "o.toml:2: 'sidecar.operator' is not ADDRESS:PORT"},
+        {"[cluster]\n", "o.toml:1: 'cluster' is not a known table"},
+        {"log = 1\n", "o.toml:1: 'log' expects a table"},
+        {"[log\n", "o.toml:1: "}};
+    for (const auto& [text, expected] : cases) try {
+            read_options(text, "o.toml");
+            FAIL() << "taken: " << text;
+        } catch (const ConfigError& error) {
+            EXPECT_EQ(std::string(error.what()).rfind(expected, 0), 0u) << error.what();
+        }
+    const Options options = read_options(
+        "[platform]\nconfig = \"lb.json\"\n[sidecar]\noperator = \"127.0.0.1:7\"\n[log]\nlevel = \"debug\"\n",
+        "/etc/mothring/o.toml");
+    EXPECT_EQ(options.platform_config, std::filesystem::path("/etc/mothring/lb.json"));
+    ASSERT_TRUE(options.operators);
+    EXPECT_EQ(options.operators->port(), 7);
+    EXPECT_EQ(options.log_level, LogLevel::debug);
+    EXPECT_EQ(read_options("", "o.toml").log_level, LogLevel::info);  // absent: today's
+}
+
 TEST_F(Program, EndsWithOneLineWhenItsConfigurationIsWrong) {
     EXPECT_EQ(status_of(start(replaced(good, "\"seed\"", "\"unseeded\""))), 1);
     std::ifstream log(folder / "log");
@@ -92,6 +130,15 @@
     EXPECT_FALSE(std::getline(log, more)) << more;
 }
 
+TEST_F(Program, ChecksAConfigurationWithExitTwoNamingTheKey) {
+    EXPECT_EQ(check("[sidecar]\noperator = 5\n"), 2);
+    std::ifstream log(folder / "log");
+    std::string line;
+    std::getline(log, line);
+    EXPECT_NE(line.find("sidecar.toml:2: 'sidecar.operator' expects a string"), std::string::npos) << line;
+    EXPECT_EQ(check("[log]\nlevel = \"warn\"\n"), 0);
+}
+
 // Two processes of one sidecar, beside clients that ask without a pause.
 struct Upgrade : Program {
     asio::io_context io;
@@ -291,8 +338,20 @@
     ::kill(child, SIGHUP);
     run_until(io, [&] {
         std::ifstream log(folder / "log");
-        return std::string(std::istreambuf_iterator<char>(log), {}).find("SIGHUP") != std::string::npos;
+        return std::string(std::istreambuf_iterator<char>(log), {}).find("config.reload_failed") !=
+               std::string::npos;
     });
+    {  // one JSON object a line, with the time, level, event and sidecar
+        std::ifstream log(folder / "log");
+        std::string line;
+        std::getline(log, line);
+        const auto json = nlohmann::json::parse(line, nullptr, false);
+        ASSERT_TRUE(json.is_object()) << line;
+        EXPECT_EQ(json.value("event", ""), "config.reload_failed") << line;
+        EXPECT_EQ(json.value("level", ""), "error") << line;
+        EXPECT_EQ(json.value("sidecar", ""), "n1") << line;
+        EXPECT_EQ(json.value("ts", "").size(), std::string("2026-12-01T21:00:00.123Z").size()) << line;
+    }
     std::ofstream(folder / "config.json") << config(second);
     ::kill(child, SIGHUP);
     run_until(io, [&] { return second.requests.size() == 1 && first.ended() == 1; });
