One TOML reader for every part; the sidecar tells its addresses; a clock skew for experiments

Need: the lab's scenarios and the later parts read TOML too, and the lab waits for a sidecar that chose its own port.

- node/toml: typed keys with ranges, unknown keys are errors, every error names file, line, key and type.
The options use it.
Not taken: a second reader in the lab, which would word the same errors twice.
- sidecar.listening names the clients', operators' and peers' addresses once they are listened on.
- [sidecar] clock_skew_ms puts the process's clock off, for the lab.
- mothring lab hands over to the program mothring_lab beside it, so that nothing of the lab is in run.
- check-config is written in node/options; main keeps the command line only.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,16 +1,20 @@
 // The command line (CLI11) and nothing else:
 //   mothring [run [--config FILE.toml]]   the sidecar; with no subcommand it reads LB_CONFIG as always
 //   mothring check-config FILE            validates a TOML or the platform's JSON file, prints the settings
+//   mothring lab SCENARIO.toml --out DIR  an experiment, by the program mothring_lab beside this one
 //   mothring version
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cerrno>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
 #include <functional>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "node/config.hpp"
 #include "node/log.hpp"
@@ -70,30 +74,7 @@
 // Exit 0 with the effective settings on standard output; 2 with the key and reason on standard error.
 int check_config(const std::filesystem::path& path) {
     try {
-        if (path.extension() == ".toml") {
-            const node::Options options = node::load_options(path);
-            if (!std::getenv("LB_CONFIG") && !options.platform_config) {
-                std::cout << "{\"log_level\": \"" << spdlog::level::to_string_view(options.log_level).data()
-                          << "\", \"operator\": "
-                          << (options.operators ? "\"" + options.operators->address().to_string() + ":" +
-                                                      std::to_string(options.operators->port()) + "\""
-                                                : std::string("null"))
-                          << "}\n";
-                return 0;
-            }
-            std::cout << node::describe(node::effective_config(options), options) << '\n';
-            return 0;
-        }
-        std::ifstream file(path, std::ios::binary);
-        if (!file) throw node::ConfigError(path.string() + ": can't be read");
-        try {
-            std::cout << node::describe(
-                             node::read_config(std::string(std::istreambuf_iterator<char>(file), {})),
-                             node::Options{})
-                      << '\n';
-        } catch (const node::ConfigError& error) {
-            throw node::ConfigError(path.string() + ": " + error.what());
-        }
+        std::cout << node::check_file(path) << '\n';
         return 0;
     } catch (const std::exception& error) {
         std::cerr << "mothring: " << error.what() << '\n';  // the TOML's errors start with file and line
@@ -101,6 +82,19 @@
     }
 }
 
+// The lab is a program of its own beside this one, so that nothing of it is part of `run`.
+int lab(std::vector<std::string> words) {
+    const std::string program =
+        (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "mothring_lab").string();
+    words.insert(words.begin(), program);
+    std::vector<char*> argv;
+    for (std::string& word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    ::execv(program.c_str(), argv.data());
+    std::cerr << "mothring: " << program << ": " << std::strerror(errno) << " (built with MOTHRING_LAB=ON)\n";
+    return 2;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -117,6 +111,10 @@
         "check-config", "Validate a TOML or platform JSON file and print the effective settings");
     check_command->add_option("FILE", checked, "The file to check")->required();
 
+    CLI::App* lab_command = app.add_subcommand("lab", "Play a scenario against a fleet of sidecars");
+    lab_command->prefix_command();
+    lab_command->set_help_flag();
+
     CLI::App* version_command = app.add_subcommand("version", "Print the version");
 
     try {
@@ -125,6 +123,7 @@
         return app.exit(error) == 0 ? 0 : 2;
     }
     if (*check_command) return check_config(checked);
+    if (*lab_command) return lab(lab_command->remaining());
     if (*version_command) {
         std::cout << "mothring " << MOTHRING_VERSION << '\n';
         return 0;
--- a/src/node/clock.hpp
+++ b/src/node/clock.hpp
@@ -11,8 +11,10 @@
 class Clock {
 public:
     using Steady = std::chrono::steady_clock;
-    Clock()
-        : unix_(std::chrono::duration<Millis, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+    // `skew`: by how much it is off, for experiments.
+    explicit Clock(Millis skew = 0)
+        : unix_(skew +
+                std::chrono::duration<Millis, std::milli>(std::chrono::system_clock::now().time_since_epoch())
                     .count()),
           steady_(Steady::now()) {}
 
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -55,9 +55,15 @@
     Millis idle_close = 15000;
     bool may_probe = false;
     bool may_tell = false;
+    Millis clock_skew = 0;  // by which this process's clock is off, on purpose
 };
 
 Config read_config(std::string_view json);
+// An address as ADDRESS:PORT.
+template <class Endpoint>
+std::string written(const Endpoint& endpoint) {
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
 // ADDRESS:PORT; throws ConfigError naming the key.
 Tcp::endpoint read_address(const std::string& text, const std::string& key);
 // Discovery's form of a list; throws ConfigError.
--- a/src/node/options.cpp
+++ b/src/node/options.cpp
@@ -1,81 +1,57 @@
 #include "node/options.hpp"
 
-#include <toml++/toml.h>
-
 #include <cstdlib>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "node/toml.hpp"
+
 namespace mothring::node {
 
 namespace {
 
-std::string where(const std::filesystem::path& source, const toml::source_region& region) {
-    return source.string() + ":" + std::to_string(region.begin.line);
-}
+using Json = nlohmann::json;
 
-[[noreturn]] void fail(const std::filesystem::path& source, const toml::node& node, const std::string& key,
-                       const std::string& reason) {
-    throw ConfigError(where(source, node.source()) + ": '" + key + "' " + reason);
+template <class Endpoint>
+Json written_if(const std::optional<Endpoint>& endpoint) {
+    return endpoint ? Json(written(*endpoint)) : Json();
 }
 
-std::string text_of(const std::filesystem::path& source, const toml::node& node, const std::string& key) {
-    const auto* value = node.as_string();
-    if (!value) fail(source, node, key, "expects a string");
-    return value->get();
+std::string level_name(LogLevel level) {
+    const auto name = spdlog::level::to_string_view(level);
+    return {name.data(), name.size()};
 }
 
-std::string read_file(const std::filesystem::path& path, const std::string& what) {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) throw ConfigError(what + " names a file that can't be read: " + path.string());
-    return {std::istreambuf_iterator<char>(file), {}};
-}
+}  // namespace
 
-// Each table with its keys and what reads them; a key or table not here is an error.
-void read_table(const std::filesystem::path& source, const toml::table& table, const std::string& name,
-                Options& options) {
-    for (const auto& [key, node] : table) {
-        const std::string path = name + "." + std::string(key.str());
-        if (path == "platform.config") {
-            std::filesystem::path file = text_of(source, node, path);
+Options read_options(std::string_view text, const std::filesystem::path& source) {
+    const toml::table document = parse_toml(text, source);
+    TomlTable root(document, source);
+    Options options;
+    if (auto platform = root.table("platform")) {
+        if (const auto path = platform->text("config")) {
+            const std::filesystem::path file = *path;
             options.platform_config = file.is_absolute() ? file : source.parent_path() / file;
-        } else if (path == "sidecar.operator") {
-            const std::string address = text_of(source, node, path);
-            try {
-                options.operators = read_address(address, path);
+        }
+        platform->done();
+    }
+    if (auto sidecar = root.table("sidecar")) {
+        if (const auto address = sidecar->text("operator")) try {
+                options.operators = read_address(*address, "operator");
             } catch (const ConfigError&) {
-                fail(source, node, path, "is not ADDRESS:PORT");
+                sidecar->fail("operator", "is not ADDRESS:PORT");
             }
-        } else if (path == "log.level") {
-            const auto level = log_level(text_of(source, node, path));
-            if (!level)
-                fail(source, node, path, "is not one of trace, debug, info, warn, error, critical, off");
+        sidecar->number_into(options.clock_skew, "clock_skew_ms", -kMostSkew, kMostSkew);
+        sidecar->done();
+    }
+    if (auto log = root.table("log")) {
+        if (const auto name = log->text("level")) {
+            const auto level = log_level(*name);
+            if (!level) log->fail("level", "is not one of trace, debug, info, warn, error, critical, off");
             options.log_level = *level;
-        } else {
-            fail(source, node, path, "is not a known key");
         }
+        log->done();
     }
-}
-
-}  // namespace
-
-Options read_options(std::string_view text, const std::filesystem::path& source) {
-    toml::table root;
-    try {
-        root = toml::parse(text, source.string());
-    } catch (const toml::parse_error& error) {
-        throw ConfigError(where(source, error.source()) + ": " + std::string(error.description()));
-    }
-    Options options;
-    for (const auto& [key, node] : root) {
-        const std::string name(key.str());
-        if (name != "platform" && name != "sidecar" && name != "log")
-            fail(source, node, name, "is not a known table");
-        const auto* table = node.as_table();
-        if (!table) fail(source, node, name, "expects a table");
-        read_table(source, *table, name, options);
-    }
+    root.done();
     return options;
 }
 
@@ -95,38 +71,53 @@
     if (const char* const address = std::getenv("LB_OPERATOR"); address && *address && !config.operators)
         config.operators = read_address(address, "LB_OPERATOR");
     if (!config.operators) config.operators = options.operators;
+    config.clock_skew = options.clock_skew;
     return config;
 }
 
+std::string describe(const Options& options) {
+    const Json out = {{"log_level", level_name(options.log_level)},
+                      {"operator", written_if(options.operators)},
+                      {"clock_skew_ms", options.clock_skew}};
+    return out.dump(2);
+}
+
 std::string describe(const Config& config, const Options& options) {
-    using Json = nlohmann::json;
-    const auto tcp = [](const Tcp::endpoint& e) {
-        return e.address().to_string() + ":" + std::to_string(e.port());
-    };
-    const auto udp = [](const Udp::endpoint& e) {
-        return e.address().to_string() + ":" + std::to_string(e.port());
-    };
     Json peers = Json::array();
-    for (const auto& peer : config.peers) peers.push_back(udp(peer));
-    Json out = {{"name", config.name},
-                {"listen", tcp(config.listen)},
-                {"discovery", tcp(config.discovery)},
-                {"seed", config.seed},
-                {"limits", {{"sockets", config.sockets}, {"memory_mb", config.memory_mb}}},
-                {"operator", config.operators ? Json(tcp(*config.operators)) : Json()},
-                {"peer_listen", config.peer_listen ? Json(udp(*config.peer_listen)) : Json()},
-                {"peers", peers},
-                {"peers_all", config.peers_all ? Json(udp(*config.peers_all)) : Json()},
-                {"known_servers", config.known.members.size()},
-                {"zones", config.site.zones},
-                {"classes", config.site.classes},
-                {"connect_timeout_ms", config.connect_timeout},
-                {"idle_close_ms", config.idle_close},
-                {"may_probe", config.may_probe},
-                {"may_tell", config.may_tell},
-                {"log_level", std::string(spdlog::level::to_string_view(options.log_level).data(),
-                                          spdlog::level::to_string_view(options.log_level).size())}};
+    for (const auto& peer : config.peers) peers.push_back(written(peer));
+    const Json out = {{"name", config.name},
+                      {"listen", written(config.listen)},
+                      {"discovery", written(config.discovery)},
+                      {"seed", config.seed},
+                      {"limits", {{"sockets", config.sockets}, {"memory_mb", config.memory_mb}}},
+                      {"operator", written_if(config.operators)},
+                      {"peer_listen", written_if(config.peer_listen)},
+                      {"peers", peers},
+                      {"peers_all", written_if(config.peers_all)},
+                      {"known_servers", config.known.members.size()},
+                      {"zones", config.site.zones},
+                      {"classes", config.site.classes},
+                      {"connect_timeout_ms", config.connect_timeout},
+                      {"idle_close_ms", config.idle_close},
+                      {"may_probe", config.may_probe},
+                      {"may_tell", config.may_tell},
+                      {"clock_skew_ms", config.clock_skew},
+                      {"log_level", level_name(options.log_level)}};
     return out.dump(2);
 }
 
+std::string check_file(const std::filesystem::path& path) {
+    if (path.extension() == ".toml") {
+        const Options options = load_options(path);
+        if (!std::getenv("LB_CONFIG") && !options.platform_config) return describe(options);
+        return describe(effective_config(options), options);
+    }
+    const std::string text = read_file(path, "FILE");
+    try {
+        return describe(read_config(text), Options{});
+    } catch (const ConfigError& error) {
+        throw ConfigError(path.string() + ": " + error.what());
+    }
+}
+
 }  // namespace mothring::node
--- a/src/node/options.hpp
+++ b/src/node/options.hpp
@@ -5,8 +5,8 @@
 //   config = "PATH"          # the platform's JSON where LB_CONFIG is not set; relative to the TOML file
 //   [sidecar]
 //   operator = "ADDR:PORT"   # the operators' address where neither the JSON nor LB_OPERATOR gives one
-//   [log]
-//   level = "info"           # trace, debug, info, warn, error, critical or off
+//   clock_skew_ms = 0        # added to the system's clock, for the lab: how it serves with a clock that is
+//   off [log] level = "info"           # trace, debug, info, warn, error, critical or off
 //
 // Absent file or absent keys: today's behaviour.
 #pragma once
@@ -25,7 +25,9 @@
     std::optional<std::filesystem::path> platform_config;
     std::optional<Tcp::endpoint> operators;
     LogLevel log_level = LogLevel::info;
+    Millis clock_skew = 0;
 };
+inline constexpr Millis kMostSkew = 24 * 3600 * 1000.0;
 
 // Reads the TOML text of `source` (a file name, for errors and for relative paths). Throws ConfigError
 // as "SOURCE:LINE: 'KEY' REASON" (the reason names the expected type where the type is wrong), and for
@@ -39,7 +41,12 @@
 // LB_OPERATOR, then the options. ConfigError as above.
 Config effective_config(const Options& options);
 
-// The effective settings as one JSON object, for `check-config`.
+// The effective settings as one JSON object, for `check-config`; of the options alone where there is no
+// platform's configuration to go with them.
 std::string describe(const Config& config, const Options& options);
+std::string describe(const Options& options);
+
+// Reads `path` (a .toml, or the platform's JSON) as `run` would and describes it. ConfigError as above.
+std::string check_file(const std::filesystem::path& path);
 
 }  // namespace mothring::node
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "node/sidecar.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
@@ -56,6 +58,7 @@
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : io_(io),
       config_(std::move(config)),
+      clock_(config_.clock_skew),
       balancer_(config_.site.settings, config_.seed),
       timer_(io),
       upstream_(io,
@@ -116,6 +119,10 @@
                                     [this] {
                                         if (drained_) std::exchange(drained_, nullptr)();
                                     }});
+    LogFields addresses{{"listen", written(front_->address())}, {"pid", ::getpid()}};
+    if (operators_) addresses["operator"] = written(operators_->address());
+    if (peers_) addresses["peers"] = written(peers_->address());
+    log(spdlog::level::info, "sidecar.listening", std::move(addresses));
 }
 
 // Two processes of one sidecar hold to its limits together: each to half of them.
@@ -156,9 +163,7 @@
 
 void Sidecar::reconfigure(const Config& config) {
     if (config.discovery == config_.discovery) return;
-    log(spdlog::level::info, "discovery.moved",
-        {{"address",
-          config.discovery.address().to_string() + ":" + std::to_string(config.discovery.port())}});
+    log(spdlog::level::info, "discovery.moved", {{"address", written(config.discovery)}});
     config_.discovery = config.discovery;
     discovery_->move(config.discovery);
 }
