--- /dev/null
+++ b/src/lab/asio.hpp
@@ -0,0 +1,74 @@
+// What every part of the lab needs of Asio: the names, coroutines, and a thread that runs one io_context.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <future>
+#include <thread>
+#include <type_traits>
+
+#include "node/clock.hpp"
+#include "node/config.hpp"
+
+namespace mothring::lab {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using node::span;
+using node::Tcp;
+using node::Udp;
+using Task = asio::awaitable<void>;
+
+inline const Tcp::endpoint any_tcp_port(asio::ip::address_v4::loopback(), 0);
+inline const Udp::endpoint any_udp_port(asio::ip::address_v4::loopback(), 0);
+
+// co_await'ed operations that give their error instead of throwing it.
+inline auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+inline void reset_on_close(Tcp::socket& socket) {
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+// A thread that runs one io_context. Its owner holds it as the first member, and calls stop() first in the
+// destructor: what the coroutines refer to then outlives them.
+class Worker {
+public:
+    Worker() : guard_(io_.get_executor()), thread_([this] { io_.run(); }) {}
+    ~Worker() { stop(); }
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+
+    asio::io_context& io() { return io_; }
+    void stop() {
+        io_.stop();
+        if (thread_.joinable()) thread_.join();
+    }
+    // Runs `work` on the thread and waits for what it gives (or throws).
+    template <class Work>
+    auto call(Work work) -> std::invoke_result_t<Work> {
+        std::packaged_task<std::invoke_result_t<Work>()> task(std::move(work));
+        auto result = task.get_future();
+        asio::post(io_, [&task] { task(); });
+        return result.get();
+    }
+    void spawn(Task task) { asio::co_spawn(io_, std::move(task), asio::detached); }
+
+private:
+    asio::io_context io_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard_;
+    std::thread thread_;
+};
+
+}  // namespace mothring::lab
--- /dev/null
+++ b/src/lab/lab.cpp
@@ -0,0 +1,448 @@
+#include "lab/lab.hpp"
+
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace mothring::lab {
+
+using Json = nlohmann::json;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr Millis kStep = 50;           // between looks at what is waited for
+constexpr Millis kStartLimit = 20000;  // for all sidecars to listen
+constexpr Millis kMetricsLimit = 2000;
+
+const char* effect_name(Effect effect) {
+    return effect == Effect::repeatable ? "repeatable" : effect == Effect::by_key ? "by_key" : "once";
+}
+
+std::string hex_seed(std::uint64_t seed) {
+    char text[20];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(seed));
+    return text;
+}
+
+void add(Usage& to, const Usage& more) {
+    to.cpu_s += more.cpu_s;
+    to.memory_kb = std::max(to.memory_kb, more.memory_kb);
+}
+
+// Each connection costs a descriptor at its client, two at the relay and one at its server, all in this
+// process.
+void raise_descriptor_limit() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+}  // namespace
+
+ClientTally Report::clients() const {
+    ClientTally sum;
+    for (const Sidecar& sidecar : sidecars) {
+        sum.all.add(sidecar.clients.all);
+        const auto& seconds = sidecar.clients.seconds;
+        if (sum.seconds.size() < seconds.size()) sum.seconds.resize(seconds.size());
+        for (std::size_t i = 0; i < seconds.size(); ++i) sum.seconds[i].add(seconds[i]);
+    }
+    return sum;
+}
+
+double Report::sidecars_cpu_s() const {
+    double sum = 0;
+    for (const Sidecar& sidecar : sidecars) sum += sidecar.usage.cpu_s;
+    return sum;
+}
+
+Lab::Lab(Scenario scenario, std::filesystem::path folder, std::filesystem::path program)
+    : scenario_(std::move(scenario)),
+      folder_(std::filesystem::absolute(folder)),
+      program_(std::filesystem::absolute(program)),
+      relay_(scenario_.seed),
+      clients_(scenario_.classes, scenario_.rate, scenario_.seed + 1) {
+    raise_descriptor_limit();
+    std::filesystem::create_directories(folder_);
+}
+
+Lab::~Lab() = default;
+
+std::size_t Lab::index_of(const std::string& node) const {
+    return static_cast<std::size_t>(std::stoul(node.substr(1))) - 1;
+}
+
+// ---- Start
+
+void Lab::start() {
+    discovery_ = std::make_unique<DiscoveryStandIn>(
+        [this](const std::string& viewer, const std::string& server) {
+            return links_.at({viewer, server});
+        },
+        scenario_.discovery_service);
+    std::vector<DiscoveryStandIn::Entry> entries;
+    for (std::size_t i = 0; i < scenario_.servers; ++i) {
+        const std::string name = scenario_.server_name(i);
+        servers_.push_back(std::make_unique<ScanServer>(name, scenario_.zone(i), scenario_.behaviour,
+                                                        scenario_.seed * 1000 + i, ledger_));
+        for (std::size_t n = 0; n < scenario_.sidecars; ++n)
+            links_[{scenario_.sidecar_name(n), name}] =
+                relay_.tcp_link(scenario_.sidecar_name(n), name, servers_.back()->address());
+        entries.push_back({name, scenario_.zone(i)});
+    }
+    discovery_->put(entries);
+    sidecars_.resize(scenario_.sidecars);
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+        SidecarProcess& s = sidecars_[i];
+        s.name = scenario_.sidecar_name(i);
+        s.folder = folder_ / s.name;
+        s.discovery = relay_.tcp_link(s.name, "discovery", discovery_->add_viewer(s.name));
+        std::filesystem::create_directories(s.folder / "tmp");
+    }
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) launch(i);
+    const auto listening = [this] {
+        return std::all_of(sidecars_.begin(), sidecars_.end(),
+                           [](const auto& s) { return s.events.contains("sidecar.listening"); });
+    };
+    const auto ended = [this] {
+        return std::find_if(sidecars_.begin(), sidecars_.end(),
+                            [](const auto& s) { return !s.child->running(); });
+    };
+    until([&] { return listening() || ended() != sidecars_.end(); }, kStartLimit);
+    if (const auto at = ended(); at != sidecars_.end())
+        throw LabError("sidecar " + at->name + " ended at its start: see " + (at->folder / "log").string());
+    if (!listening()) throw LabError("the sidecars did not all listen within the limit");
+}
+
+void Lab::configure(std::size_t i) {
+    const SidecarProcess& s = sidecars_[i];
+    Json classes = Json::array();
+    for (const ClientClass& c : scenario_.classes)
+        classes.push_back({{"name", c.name},
+                           {"effect", effect_name(c.effect)},
+                           {"dedup-scope", "all"},
+                           {"dedup-window-ms", c.timeout},
+                           {"on-time-ms", c.on_time},
+                           {"credit", 1.0}});
+    Json peers = Json::array();
+    for (std::size_t n = 0; scenario_.may_tell && n < scenario_.sidecars; ++n)
+        if (n != i) peers.push_back(node::written(relay_.udp_link(s.name, scenario_.sidecar_name(n))));
+    Json config{{"name", s.name},
+                {"listen", node::written(s.listen)},
+                {"discovery", node::written(s.discovery)},
+                {"seed", hex_seed(scenario_.seed * 7919 + i * 31 + s.starts)},
+                {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+                {"operator", node::written(s.operators)},
+                {"known", Json::parse(discovery_->list(s.name))},
+                {"settings",
+                 {{"azs", scenario_.zones},
+                  {"my-zone", scenario_.zone(i)},
+                  {"classes", classes},
+                  {"siblings", scenario_.sidecars},
+                  {"membership-mode", scenario_.list_on_request ? "on_request" : "pushed"},
+                  {"tenants", Json::array()},
+                  {"limits",
+                   {{"max-attempts", 4},
+                    {"may-cancel", true},
+                    {"may-probe", true},
+                    {"may-tell", scenario_.may_tell},
+                    {"connect-timeout-ms", 250.0},
+                    {"idle-close-ms", scenario_.behaviour.idle_close},
+                    {"parallel-tries", false},
+                    {"retry-after", true},
+                    {"max-retry-after-ms", 1500.0}}},
+                  {"rules",
+                   {{"cold-from", scenario_.behaviour.cold_from},
+                    {"warm-within-ms", scenario_.behaviour.warm_ms},
+                    {"fall-multiple", 4.0},
+                    {"ask-within-ms", 10000.0}}}}}};
+    if (scenario_.may_tell) {
+        config["peer_listen"] = node::written(s.peers);
+        config["peers"] = std::move(peers);
+    }
+    std::ofstream(s.folder / "config.json") << config.dump(1);
+    std::string toml = scenario_.sidecar_toml + "\n";
+    // A key of [sidecar] that the scenario gives for all stays; the skew is of some.
+    if (i < scenario_.skewed && toml.find("[sidecar]") == std::string::npos)
+        toml += "[sidecar]\nclock_skew_ms = " + std::to_string(scenario_.clock_skew) + "\n";
+    std::ofstream(s.folder / "sidecar.toml") << toml;
+}
+
+void Lab::launch(std::size_t i) {
+    SidecarProcess& s = sidecars_[i];
+    configure(i);
+    ++s.starts;
+    s.told_to_end = false;
+    s.child = std::make_unique<Child>(
+        io_,
+        std::vector<std::string>{program_.string(), "run", "--config", (s.folder / "sidecar.toml").string()},
+        std::map<std::string, std::string>{{"LB_CONFIG", (s.folder / "config.json").string()},
+                                           {"LB_NAME", s.name},
+                                           {"TMPDIR", (s.folder / "tmp").string()}},
+        s.folder / "log", [this, i](const Json& event) { heard(i, event); });
+}
+
+void Lab::heard(std::size_t i, const Json& event) {
+    SidecarProcess& s = sidecars_[i];
+    const std::string name = event.value("event", "");
+    auto& [count, last] = s.events[name];
+    ++count;
+    last = event;
+    if (name != "sidecar.listening") return;
+    // The ports that the system chose stay its own over restarts.
+    s.listen = node::read_address(event.value("listen", ""), "listen");
+    if (event.contains("operator")) s.operators = node::read_address(event.value("operator", ""), "operator");
+    if (event.contains("peers")) {
+        const Tcp::endpoint peers = node::read_address(event.value("peers", ""), "peers");
+        s.peers = {peers.address(), peers.port()};
+        relay_.set_udp_address(s.name, s.peers);
+    }
+    clients_.add(s.name, scenario_.zone(i), s.listen);
+}
+
+// ---- Faults
+
+void Lab::signal(std::size_t i, int number) {
+    SidecarProcess& s = sidecars_.at(i);
+    s.told_to_end |= number == SIGKILL || number == SIGTERM;
+    s.child->signal(number);
+}
+
+void Lab::restart(std::size_t i) {
+    SidecarProcess& s = sidecars_.at(i);
+    if (s.child->running()) throw LabError("sidecar " + s.name + " still runs");
+    look_after();
+    add(s.past, s.child->usage());
+    launch(i);
+}
+
+Task Lab::restart_later(std::size_t i, Millis after) {
+    asio::steady_timer timer(io_, span(after));
+    error_code ignored;
+    co_await timer.async_wait(into(ignored));
+    for (Millis waited = 0; sidecars_[i].child->running() && waited < kStartLimit; waited += kStep) {
+        timer.expires_after(span(kStep));  // it drains
+        co_await timer.async_wait(into(ignored));
+    }
+    restart(i);
+}
+
+void Lab::look_after() {
+    for (SidecarProcess& s : sidecars_) {
+        if (!s.child || s.child->running()) continue;
+        const int status = *s.child->status();
+        s.ended_badly |= !(s.told_to_end && ((WIFEXITED(status) && WEXITSTATUS(status) == 0) ||
+                                             (WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL)));
+    }
+}
+
+void Lab::apply(const Fault& f) {
+    const auto targets = scenario_.select(f.from);
+    switch (f.kind) {
+        case FaultKind::partition:
+        case FaultKind::delay:
+        case FaultKind::drop:
+        case FaultKind::reset:
+            rules_[&f] = relay_.add({targets, scenario_.select(f.to), f.both_ways, f.conditions});
+            return;
+        case FaultKind::kill:
+        case FaultKind::drain:
+            for (const auto& node : targets) {
+                signal(index_of(node), f.kind == FaultKind::kill ? SIGKILL : SIGTERM);
+                if (f.restart_after)
+                    asio::co_spawn(io_, restart_later(index_of(node), *f.restart_after), asio::detached);
+            }
+            return;
+        case FaultKind::stop:
+            for (const auto& node : targets) signal(index_of(node), SIGSTOP);
+            return;
+        case FaultKind::server:
+            for (const auto& node : targets) {
+                ScanServer& server = *servers_.at(index_of(node));
+                Behaviour b = server.behaviour();
+                behaviours_.try_emplace(node, b);
+                b.error_share = f.error_share.value_or(b.error_share);
+                b.turn_away_share = f.turn_away_share.value_or(b.turn_away_share);
+                b.reset_share = f.reset_share.value_or(b.reset_share);
+                b.slow = f.slow.value_or(b.slow);
+                b.silent = f.silent.value_or(b.silent);
+                server.set(b);
+            }
+            return;
+        case FaultKind::server_down:
+            for (const auto& node : targets) {
+                relay_.set_refused(node, true);
+                servers_.at(index_of(node))->set_down(true);
+            }
+            return;
+        case FaultKind::list:
+            return discovery_->set_state({targets.begin(), targets.end()}, f.state);
+        case FaultKind::discovery:
+            return discovery_->set_mode(f.mode);
+    }
+}
+
+void Lab::lift(const Fault& f) {
+    const auto targets = scenario_.select(f.from);
+    switch (f.kind) {
+        case FaultKind::partition:
+        case FaultKind::delay:
+        case FaultKind::drop:
+        case FaultKind::reset:
+            if (const auto rule = rules_.find(&f); rule != rules_.end()) {
+                relay_.remove(rule->second);
+                rules_.erase(rule);
+            }
+            return;
+        case FaultKind::kill:
+        case FaultKind::drain:
+            return;
+        case FaultKind::stop:
+            for (const auto& node : targets) signal(index_of(node), SIGCONT);
+            return;
+        case FaultKind::server:
+            for (const auto& node : targets)
+                if (const auto before = behaviours_.extract(node))
+                    servers_.at(index_of(node))->set(before.mapped());
+            return;
+        case FaultKind::server_down:
+            for (const auto& node : targets) {
+                servers_.at(index_of(node))->set_down(false);
+                relay_.set_refused(node, false);
+                discovery_->restarted(node);
+            }
+            return;
+        case FaultKind::list:
+            return discovery_->set_state({targets.begin(), targets.end()}, "Ready");
+        case FaultKind::discovery:
+            return discovery_->set_mode(DiscoveryStandIn::Mode::up);
+    }
+}
+
+// ---- Play
+
+bool Lab::until(const std::function<bool()>& reached, Millis limit) {
+    const auto end = steady_clock::now() + span(limit);
+    for (;;) {
+        if (reached()) return true;
+        if (steady_clock::now() >= end) return false;
+        io_.restart();
+        // An event of a child ends the wait early; what the other threads do is looked for after a step.
+        io_.run_one_until(std::min(end, steady_clock::now() + span(kStep)));
+    }
+}
+
+void Lab::play(const std::function<bool(Millis)>& progress) {
+    std::vector<Due> timeline;
+    for (const Fault& fault : scenario_.faults) {
+        timeline.push_back({fault.at, [this, &fault] { apply(fault); }});
+        if (fault.length) timeline.push_back({fault.at + *fault.length, [this, &fault] { lift(fault); }});
+    }
+    std::stable_sort(timeline.begin(), timeline.end(),
+                     [](const Due& a, const Due& b) { return a.at < b.at; });
+    lab_cpu_before_ = own_usage().cpu_s;
+    for (const SidecarProcess& s : sidecars_) cpu_before_.push_back(s.child->usage().cpu_s);
+    for (auto& server : servers_) server->start_seconds();
+    clients_.start();
+    const auto begun = steady_clock::now();
+    const auto now = [&] {
+        return std::chrono::duration<Millis, std::milli>(steady_clock::now() - begun).count();
+    };
+    auto next = timeline.begin();
+    while (!interrupted_ && now() < scenario_.duration) {
+        while (next != timeline.end() && next->at <= now()) (next++)->act();
+        const Millis to =
+            next == timeline.end() ? scenario_.duration : std::min(next->at, scenario_.duration);
+        until([&] { return now() >= to; }, std::min(kStep, std::max(0.0, to - now())));
+        look_after();
+        interrupted_ = progress && !progress(now());
+    }
+    played_ = now();
+    clients_.stop();
+    // What is out has its own limit of time; that of the longest class bounds the wait.
+    Millis longest = 0;
+    for (const ClientClass& c : scenario_.classes) longest = std::max(longest, c.timeout);
+    if (!interrupted_) until([&] { return clients_.out() == 0; }, longest + 1000);
+}
+
+Report Lab::report() {
+    look_after();
+    Report r;
+    r.name = scenario_.name;
+    r.seed = scenario_.seed;
+    r.interrupted = interrupted_;
+    r.played = played_;
+    const auto tallies = clients_.tallies();
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+        const SidecarProcess& s = sidecars_[i];
+        Usage usage = s.past;
+        add(usage, s.child->usage());
+        if (i < cpu_before_.size()) usage.cpu_s -= cpu_before_[i];
+        const auto tally = tallies.find(s.name);
+        r.sidecars.push_back({s.name, scenario_.zone(i),
+                              tally == tallies.end() ? ClientTally{} : tally->second, usage, s.starts,
+                              s.ended_badly});
+    }
+    for (const auto& server : servers_)
+        r.servers.push_back({server->name(), server->zone(), server->counts()});
+    for (const Fault& f : scenario_.faults)
+        r.faults.push_back({std::string(fault_kinds().at(static_cast<std::size_t>(f.kind))), f.at,
+                            f.length ? std::min(f.at + *f.length, r.played) : r.played});
+    r.relay = relay_.counts();
+    r.attempts = ledger_->attempts();
+    r.once_repeated = ledger_->once_repeated();
+    r.by_attempts = ledger_->by_attempts();
+    r.discovery_calls = discovery_->calls();
+    r.lab_cpu_s = own_usage().cpu_s - lab_cpu_before_;
+    return r;
+}
+
+// ---- Questions
+
+std::size_t Lab::events(std::size_t sidecar, const std::string& name) const {
+    const auto& events = sidecars_.at(sidecar).events;
+    const auto at = events.find(name);
+    return at == events.end() ? 0 : at->second.first;
+}
+
+Json Lab::last_event(std::size_t sidecar, const std::string& name) const {
+    const auto& events = sidecars_.at(sidecar).events;
+    const auto at = events.find(name);
+    return at == events.end() ? Json() : at->second.second;
+}
+
+Json Lab::metrics(std::size_t sidecar) const {
+    namespace http = boost::beast::http;
+    asio::io_context io;
+    boost::beast::tcp_stream stream(io);
+    http::request<http::empty_body> request{http::verb::get, "/metrics", 11};
+    http::response<http::string_body> response;
+    boost::beast::flat_buffer buffer;
+    Json metrics;
+    stream.expires_after(span(kMetricsLimit));
+    asio::co_spawn(
+        io,
+        [&]() -> Task {
+            error_code failed;
+            co_await stream.async_connect(sidecars_.at(sidecar).operators, into(failed));
+            if (!failed) co_await http::async_write(stream, request, into(failed));
+            if (!failed) co_await http::async_read(stream, buffer, response, into(failed));
+            if (!failed && response.result() == http::status::ok)
+                metrics = Json::parse(response.body(), nullptr, false);
+        },
+        asio::detached);
+    io.run();
+    return metrics;
+}
+
+}  // namespace mothring::lab
--- /dev/null
+++ b/src/lab/lab.hpp
@@ -0,0 +1,140 @@
+// One experiment: the stand-in platform, the relay, the clients and a fleet of sidecar processes, and the
+// timeline of a scenario played against them. Drive it from one thread, the one that made it: the sidecars
+// die with that thread.
+#pragma once
+
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/clients.hpp"
+#include "lab/discovery.hpp"
+#include "lab/process.hpp"
+#include "lab/relay.hpp"
+#include "lab/scan_server.hpp"
+#include "lab/scenario.hpp"
+
+namespace mothring::lab {
+
+struct LabError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// What an experiment showed; see report.hpp for its written forms.
+struct Report {
+    std::string name;
+    bool interrupted = false;
+    Millis played = 0;
+    std::uint64_t seed = 0;
+    struct Sidecar {
+        std::string name, zone;
+        ClientTally clients;
+        Usage usage;
+        unsigned starts = 0;
+        bool ended_badly = false;  // by itself, other than with exit 0 after SIGTERM
+    };
+    struct Server {
+        std::string name, zone;
+        ScanServer::Counts counts;
+    };
+    struct Band {
+        std::string what;
+        Millis from = 0, to = 0;
+    };
+    std::vector<Sidecar> sidecars;
+    std::vector<Server> servers;
+    std::vector<Band> faults;
+    Relay::Counts relay;
+    std::uint64_t attempts = 0, once_repeated = 0, discovery_calls = 0;
+    std::map<unsigned, std::uint64_t> by_attempts;  // requests by attempts that arrived
+    double lab_cpu_s = 0;
+    ClientTally clients() const;  // of all sidecars
+    double sidecars_cpu_s() const;
+};
+
+class Lab {
+public:
+    // `program`: the sidecar to start. `folder`: where its configurations, logs and temporary files go.
+    Lab(Scenario scenario, std::filesystem::path folder, std::filesystem::path program);
+    ~Lab();  // every child is killed and reaped
+    Lab(const Lab&) = delete;
+    Lab& operator=(const Lab&) = delete;
+
+    // Starts everything and waits until each sidecar listens. Throws LabError naming the one that does not.
+    void start();
+    // Plays the scenario to its end, then waits for what is still out. `progress` is called several times a
+    // second with the time played; where it gives false the play ends there.
+    void play(const std::function<bool(Millis)>& progress = nullptr);
+    Report report();
+
+    // Handles child output and timers until `reached`, for `limit` at the most; whether it was.
+    bool until(const std::function<bool()>& reached, Millis limit = 10000);
+    void apply(const Fault& fault);
+    void lift(const Fault& fault);
+
+    // For faults and questions apart from the timeline.
+    void signal(std::size_t sidecar, int number);
+    void restart(std::size_t sidecar);  // with its name and addresses; it must have ended
+    const Child* child(std::size_t sidecar) const { return sidecars_.at(sidecar).child.get(); }
+    // How many events of that name the sidecar has written, over all its lives.
+    std::size_t events(std::size_t sidecar, const std::string& name) const;
+    // The last such event, null where there is none.
+    nlohmann::json last_event(std::size_t sidecar, const std::string& name) const;
+    // GET at the sidecar's operators' address: the body of a 200, or null. Bounded in time.
+    nlohmann::json metrics(std::size_t sidecar) const;
+    const Scenario& scenario() const { return scenario_; }
+    DiscoveryStandIn& discovery() { return *discovery_; }
+    ScanServer& server(std::size_t i) { return *servers_.at(i); }
+    Relay& relay() { return relay_; }
+    Clients& clients() { return clients_; }
+    Ledger& ledger() { return *ledger_; }
+
+private:
+    struct SidecarProcess {
+        std::string name;
+        std::filesystem::path folder;
+        Tcp::endpoint listen{any_tcp_port}, operators{any_tcp_port};
+        Udp::endpoint peers{any_udp_port};
+        Tcp::endpoint discovery;
+        std::unique_ptr<Child> child;
+        std::map<std::string, std::pair<std::size_t, nlohmann::json>> events;
+        Usage past;  // of its earlier lives
+        unsigned starts = 0;
+        bool ended_badly = false, told_to_end = false;
+    };
+    struct Due {
+        Millis at;
+        std::function<void()> act;
+    };
+    void launch(std::size_t i);
+    void configure(std::size_t i);
+    void heard(std::size_t i, const nlohmann::json& event);
+    void look_after();  // children that ended by themselves
+    Task restart_later(std::size_t i, Millis after);
+    std::size_t index_of(const std::string& node) const;
+
+    Scenario scenario_;
+    std::filesystem::path folder_, program_;
+    asio::io_context io_{1};
+    std::shared_ptr<Ledger> ledger_ = std::make_shared<Ledger>();
+    Relay relay_;
+    std::vector<std::unique_ptr<ScanServer>> servers_;
+    std::map<std::pair<std::string, std::string>, Tcp::endpoint> links_;
+    std::unique_ptr<DiscoveryStandIn> discovery_;
+    Clients clients_;
+    std::vector<SidecarProcess> sidecars_;
+    std::map<const Fault*, Relay::RuleId> rules_;
+    std::map<std::string, Behaviour> behaviours_;  // to go back to, of servers with a fault
+    Millis played_ = 0;
+    bool interrupted_ = false;
+    double lab_cpu_before_ = 0;
+    std::vector<double> cpu_before_;
+};
+
+}  // namespace mothring::lab
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,149 @@
+#include "lab/process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/read_until.hpp>
+#include <cerrno>
+#include <istream>
+#include <system_error>
+
+namespace mothring::lab {
+
+namespace {
+
+Usage usage_of(const rusage& r) {
+    const auto seconds = [](const timeval& t) {
+        return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+    };
+    return {seconds(r.ru_utime) + seconds(r.ru_stime), static_cast<std::uint64_t>(r.ru_maxrss)};
+}
+
+}  // namespace
+
+Usage own_usage() {
+    rusage r{};
+    ::getrusage(RUSAGE_SELF, &r);
+    return usage_of(r);
+}
+
+// The reading end of the child's standard error. Outlives the child while a read is under way.
+struct Child::Output : std::enable_shared_from_this<Output> {
+    Output(asio::io_context& io, int fd, const std::filesystem::path& path, OnEvent event)
+        : pipe(io, fd), log(path, std::ios::app), on_event(std::move(event)) {}
+    void read() {
+        asio::async_read_until(pipe, buffer, '\n',
+                               [self = shared_from_this()](error_code failed, std::size_t) {
+                                   if (failed) {
+                                       if (failed != asio::error::operation_aborted && self->on_end)
+                                           self->on_end();
+                                       return;
+                                   }
+                                   std::istream stream(&self->buffer);
+                                   std::string line;
+                                   std::getline(stream, line);
+                                   self->log << line << std::endl;
+                                   const auto event = nlohmann::json::parse(line, nullptr, false);
+                                   if (event.is_object() && self->on_event) self->on_event(event);
+                                   self->read();
+                               });
+    }
+    asio::posix::stream_descriptor pipe;
+    asio::streambuf buffer;
+    std::ofstream log;
+    OnEvent on_event;
+    std::function<void()> on_end;  // the child has closed it: it ends, or has
+};
+
+Child::Child(asio::io_context& io, const std::vector<std::string>& argv,
+             const std::map<std::string, std::string>& environment, const std::filesystem::path& log,
+             OnEvent on_event) {
+    // All that allocates happens before the fork: other threads may hold any lock.
+    std::vector<std::string> words;
+    for (char** at = environ; *at; ++at) {
+        const std::string word = *at;
+        if (!environment.contains(word.substr(0, word.find('=')))) words.push_back(word);
+    }
+    for (const auto& [name, value] : environment) words.push_back(name + "=" + value);
+    std::vector<char*> env, args;
+    for (std::string& word : words) env.push_back(word.data());
+    env.push_back(nullptr);
+    std::vector<std::string> copies = argv;
+    for (std::string& word : copies) args.push_back(word.data());
+    args.push_back(nullptr);
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
+    const pid_t parent = ::getpid();
+    pid_ = ::fork();
+    if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
+    if (pid_ == 0) {
+        ::setpgid(0, 0);
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent) ::_exit(126);  // it died before that took hold
+        sigset_t none;
+        sigemptyset(&none);
+        ::sigprocmask(SIG_SETMASK, &none, nullptr);
+        ::dup2(ends[1], STDERR_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        const int null = ::open("/dev/null", O_RDONLY);
+        ::dup2(null, STDIN_FILENO);
+        ::close_range(3, ~0U, 0);
+        ::execve(args[0], args.data(), env.data());
+        ::_exit(127);
+    }
+    ::setpgid(pid_, pid_);  // whoever is first
+    ::close(ends[1]);
+    output_ = std::make_shared<Output>(io, ends[0], log, std::move(on_event));
+    output_->on_end = [this] { ended(); };
+    output_->read();
+}
+
+Child::~Child() {
+    output_->on_end = nullptr;
+    output_->on_event = nullptr;
+    if (running()) {
+        ::kill(-pid_, SIGKILL);
+        ended();
+    }
+    error_code ignored;
+    output_->pipe.close(ignored);
+}
+
+void Child::signal(int number) const {
+    if (running()) ::kill(pid_, number);
+}
+
+void Child::ended() {
+    if (status_) return;
+    int status = 0;
+    rusage r{};
+    while (::wait4(pid_, &status, 0, &r) < 0 && errno == EINTR) {
+    }
+    last_ = usage_of(r);
+    status_ = status;
+}
+
+Usage Child::usage() const {
+    if (status_) return last_;
+    Usage usage;
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), {});
+    std::istringstream rest(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::string skipped;
+    for (int field = 3; field < 14 && rest >> skipped; ++field) {
+    }
+    double user = 0, system = 0;
+    rest >> user >> system;  // fields 14 and 15 of proc(5), in clock ticks
+    usage.cpu_s = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    std::ifstream statm("/proc/" + std::to_string(pid_) + "/statm");
+    std::uint64_t size = 0, resident = 0;
+    statm >> size >> resident;
+    usage.memory_kb = resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024;
+    return usage;
+}
+
+}  // namespace mothring::lab
--- /dev/null
+++ b/src/lab/relay.cpp
@@ -0,0 +1,298 @@
+#include "lab/relay.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <vector>
+
+namespace mothring::lab {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr Millis kRetransmission = 200;  // the least a lost TCP segment is late by (RFC 6298, Linux's floor)
+constexpr std::size_t kPiece = 16 * 1024;
+constexpr std::size_t kLongestDatagram = 64 * 1024;
+
+}  // namespace
+
+void Conditions::add(const Conditions& other) {
+    silent |= other.silent;
+    reset |= other.reset;
+    drop = 1 - (1 - drop) * (1 - other.drop);
+    delay += other.delay;
+    jitter += other.jitter;
+}
+
+struct Relay::Connection {
+    Connection(Tcp::socket a, asio::io_context& io) : near(std::move(a)), far(io) {}
+    void reset() {
+        reset_on_close(near);
+        reset_on_close(far);
+    }
+    Tcp::socket near, far;
+};
+
+Relay::Relay(std::uint64_t seed) : random_(seed) {}
+Relay::~Relay() { worker_.stop(); }
+
+std::unique_ptr<Relay::Direction> Relay::direction(const std::string& from, const std::string& to) {
+    auto made = std::make_unique<Direction>(
+        Direction{from, to, {}, asio::steady_timer(worker_.io(), steady_clock::time_point::max())});
+    judge(*made);
+    return made;
+}
+
+void Relay::judge(Direction& d) {
+    d.now = {};
+    for (const auto& [id, rule] : rules_) {
+        const bool forth = rule.from.contains(d.from) && rule.to.contains(d.to);
+        const bool back = rule.both_ways && rule.from.contains(d.to) && rule.to.contains(d.from);
+        if (forth || back) d.now.add(rule.conditions);
+    }
+}
+
+// ---- TCP
+
+Tcp::endpoint Relay::tcp_link(const std::string& from, const std::string& to, const Tcp::endpoint& address) {
+    return worker_.call([&] {
+        Link& link = links_.emplace_back();
+        link.out = direction(from, to);
+        link.back = direction(to, from);
+        link.target = address;
+        // The port is the system's choice, and then bound by number: a listener that is shut down, so that
+        // connections are refused, keeps only a port it asked for.
+        Tcp::acceptor chosen(worker_.io(), Tcp::v4());
+        chosen.set_option(asio::socket_base::reuse_address(true));
+        chosen.bind(any_tcp_port);
+        link.acceptor.emplace(worker_.io(), Tcp::v4());
+        link.acceptor->set_option(asio::socket_base::reuse_address(true));
+        link.acceptor->bind(chosen.local_endpoint());
+        const Tcp::endpoint endpoint = link.acceptor->local_endpoint();
+        open(link);
+        apply(link);
+        return endpoint;
+    });
+}
+
+void Relay::open(Link& link) {
+    link.acceptor->listen(asio::socket_base::max_listen_connections);
+    worker_.spawn(accept(link));
+}
+
+void Relay::end_connections(Link& link) {
+    for (const auto& weak : link.connections)
+        if (const auto connection = weak.lock()) connection->reset();
+    link.connections.clear();
+}
+
+// Silence: the listener's queue is as short as can be and full, so that the kernel drops what would connect.
+void Relay::apply(Link& link) {
+    error_code ignored;
+    if (link.out->now.reset || link.back->now.reset) end_connections(link);
+    const bool silent = !link.refused && (link.out->now.silent || link.back->now.silent);
+    if (silent == link.silenced) return;
+    link.silenced = silent;
+    if (silent) {
+        link.acceptor->cancel(ignored);
+        ::listen(link.acceptor->native_handle(), 0);
+        link.filler.emplace(worker_.io(), Tcp::v4());
+        link.filler->connect(link.acceptor->local_endpoint(), ignored);
+    } else {
+        link.filler.reset();
+        if (!link.refused) open(link);
+    }
+}
+
+void Relay::set_refused(const std::string& node, bool refused) {
+    worker_.call([&] {
+        for (Link& link : links_) {
+            if (link.out->to != node || link.refused == refused) continue;
+            error_code ignored;
+            if (refused) {
+                link.acceptor->cancel(ignored);
+                ::shutdown(link.acceptor->native_handle(), SHUT_RD);
+                link.refused = true;
+                end_connections(link);
+                apply(link);
+            } else {
+                link.refused = false;
+                open(link);
+                apply(link);
+            }
+        }
+    });
+}
+
+Task Relay::accept(Link& link) {
+    for (;;) {
+        error_code failed;
+        Tcp::socket socket = co_await link.acceptor->async_accept(into(failed));
+        if (failed || link.silenced || link.refused) co_return;
+        if (link.out->now.reset || link.back->now.reset) {
+            reset_on_close(socket);
+            continue;
+        }
+        const auto connection = std::make_shared<Connection>(std::move(socket), worker_.io());
+        link.connections.remove_if([](const auto& weak) { return weak.expired(); });
+        link.connections.push_back(connection);
+        ++counts_.connections;
+        worker_.spawn(connect(link, connection));
+    }
+}
+
+Task Relay::connect(Link& link, std::shared_ptr<Connection> connection) {
+    error_code failed;
+    connection->near.set_option(Tcp::no_delay(true), failed);
+    co_await connection->far.async_connect(link.target, into(failed));
+    if (failed) {
+        connection->reset();
+        co_return;
+    }
+    connection->far.set_option(Tcp::no_delay(true), failed);
+    worker_.spawn(pump(connection, connection->near, connection->far, *link.out));
+    worker_.spawn(pump(connection, connection->far, connection->near, *link.back));
+}
+
+Millis Relay::delay_of(const Conditions& c) {
+    std::uniform_real_distribution<double> even(0, 1);
+    return c.delay + (c.jitter > 0 ? c.jitter * even(random_) : 0);
+}
+
+Task Relay::pump(std::shared_ptr<Connection> connection, Tcp::socket& in, Tcp::socket& out,
+                 Direction& direction) {
+    std::uniform_real_distribution<double> even(0, 1);
+    std::vector<char> piece(kPiece);
+    asio::steady_timer timer(worker_.io());
+    for (;;) {
+        error_code failed, ignored;
+        const std::size_t size = co_await in.async_read_some(asio::buffer(piece), into(failed));
+        if (failed == asio::error::operation_aborted || !out.is_open()) co_return;
+        Millis delay = delay_of(direction.now);
+        if (direction.now.drop > 0 && even(random_) < direction.now.drop) delay += kRetransmission;
+        if (delay > 0) {
+            timer.expires_after(span(delay));
+            co_await timer.async_wait(into(ignored));
+        }
+        // An end, too, is only seen once something passes.
+        while (direction.now.silent && out.is_open()) co_await direction.changed.async_wait(into(ignored));
+        if (failed == asio::error::eof) {
+            out.shutdown(Tcp::socket::shutdown_send, ignored);
+            co_return;
+        }
+        if (failed) {
+            connection->reset();
+            co_return;
+        }
+        counts_.bytes += size;
+        co_await asio::async_write(out, asio::buffer(piece.data(), size), into(failed));
+        if (failed) {
+            connection->reset();
+            co_return;
+        }
+    }
+}
+
+// ---- UDP
+
+Relay::UdpEnd& Relay::udp_end(const std::string& owner, const std::string& other) {
+    const auto key = std::pair(owner, other);
+    if (const auto at = udp_.find(key); at != udp_.end()) return at->second;
+    UdpEnd& end = udp_.emplace(key, UdpEnd{owner, other, direction(owner, other),
+                                           Udp::socket(worker_.io(), any_udp_port)})
+                      .first->second;
+    worker_.spawn(receive(end));
+    return end;
+}
+
+Udp::endpoint Relay::udp_link(const std::string& a, const std::string& b) {
+    return worker_.call([&] {
+        udp_end(b, a);
+        return udp_end(a, b).socket.local_endpoint();
+    });
+}
+
+void Relay::set_udp_address(const std::string& node, const Udp::endpoint& address) {
+    worker_.call([&] { udp_addresses_[node] = address; });
+}
+
+Task Relay::receive(UdpEnd& end) {
+    std::uniform_real_distribution<double> even(0, 1);
+    std::vector<std::uint8_t> buffer(kLongestDatagram);
+    for (;;) {
+        error_code failed;
+        Udp::endpoint sender;
+        const std::size_t size =
+            co_await end.socket.async_receive_from(asio::buffer(buffer), sender, into(failed));
+        if (failed == asio::error::operation_aborted) co_return;
+        if (failed) continue;
+        ++counts_.datagrams;
+        const Conditions& now = end.out->now;
+        if (now.silent || (now.drop > 0 && even(random_) < now.drop)) {
+            ++counts_.datagrams_lost;
+            continue;
+        }
+        worker_.spawn(deliver(end, {buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(size)},
+                              delay_of(now)));
+    }
+}
+
+Task Relay::deliver(UdpEnd& from, std::vector<std::uint8_t> bytes, Millis delay) {
+    error_code ignored;
+    if (delay > 0) {
+        asio::steady_timer timer(worker_.io(), span(delay));
+        co_await timer.async_wait(into(ignored));
+    }
+    const auto at = udp_addresses_.find(from.other);
+    if (at == udp_addresses_.end()) {
+        ++counts_.datagrams_lost;
+        co_return;
+    }
+    // From the receiver's own link to the sender, so that it sees there whom it is from.
+    udp_.at({from.other, from.owner}).socket.send_to(asio::buffer(bytes), at->second, 0, ignored);
+}
+
+// ---- Rules
+
+Relay::RuleId Relay::add(Rule rule) {
+    return worker_.call([&] {
+        rules_.emplace(next_rule_, std::move(rule));
+        rules_changed();
+        return next_rule_++;
+    });
+}
+
+void Relay::remove(RuleId rule) {
+    worker_.call([&] {
+        rules_.erase(rule);
+        rules_changed();
+    });
+}
+
+void Relay::rules_changed() {
+    for (Link& link : links_) {
+        judge(*link.out);
+        judge(*link.back);
+        link.out->changed.cancel();
+        link.back->changed.cancel();
+        apply(link);
+    }
+    for (auto& [key, end] : udp_) judge(*end.out);
+}
+
+Relay::Counts Relay::counts() {
+    return worker_.call([&] {
+        Counts counts = counts_;
+        for (const Link& link : links_)
+            counts.open +=
+                static_cast<std::size_t>(std::count_if(link.connections.begin(), link.connections.end(),
+                                                       [](const auto& c) { return !c.expired(); }));
+        return counts;
+    });
+}
+
+}  // namespace mothring::lab
--- a/src/node/toml.cpp
+++ b/src/node/toml.cpp
@@ -126,7 +126,7 @@
 }
 
 std::optional<std::size_t> TomlTable::one_of(const std::string& key,
-                                             std::initializer_list<std::string_view> names) {
+                                             const std::vector<std::string_view>& names) {
     const auto value = text(key);
     if (!value) return std::nullopt;
     const auto at = std::find(names.begin(), names.end(), *value);
--- a/src/node/toml.hpp
+++ b/src/node/toml.hpp
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <filesystem>
-#include <initializer_list>
 #include <limits>
 #include <optional>
 #include <set>
@@ -44,7 +43,7 @@
     std::optional<TomlTable> table(const std::string& key);
     std::vector<TomlTable> tables(const std::string& key);  // [[key]]; absent: none
     // One of the names given, by its place among them.
-    std::optional<std::size_t> one_of(const std::string& key, std::initializer_list<std::string_view> names);
+    std::optional<std::size_t> one_of(const std::string& key, const std::vector<std::string_view>& names);
 
     // Into `to` where the key is there.
     template <class T, class... Range>
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,387 @@
+// The fault lab itself, and the sidecar among several processes: killed, cut off, without discovery.
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <random>
+#include <sstream>
+
+#include "lab/report.hpp"
+#include "lab_rig.hpp"
+
+namespace mothring::lab::test {
+namespace {
+
+using Json = nlohmann::json;
+
+const std::string three_classes = R"(
+[[clients.classes]]
+name = "fetch"
+effect = "repeatable"
+[[clients.classes]]
+name = "note"
+effect = "by_key"
+[[clients.classes]]
+name = "accession"
+effect = "once"
+)";
+
+// ---- The parts
+
+TEST(Histogram, ReadsEveryPercentileWithinAThirtySecondAbove) {
+    std::mt19937_64 random(7);
+    std::lognormal_distribution<double> draw(9, 2);
+    Histogram whole, half, other;
+    std::vector<std::uint64_t> values;
+    for (int i = 0; i < 20000; ++i) {
+        values.push_back(static_cast<std::uint64_t>(draw(random)));
+        whole.record(static_cast<double>(values.back()));
+        (i % 2 ? half : other).record(static_cast<double>(values.back()));
+    }
+    std::sort(values.begin(), values.end());
+    half.add(other);
+    for (const double share : {0.001, 0.25, 0.5, 0.9, 0.99, 0.999, 1.0}) {
+        const auto rank = static_cast<std::size_t>(std::ceil(share * 20000)) - 1;
+        EXPECT_GE(whole.percentile(share), values[rank]) << share;
+        EXPECT_LE(static_cast<double>(whole.percentile(share)), static_cast<double>(values[rank]) * 33 / 32)
+            << share;
+        EXPECT_EQ(half.percentile(share), whole.percentile(share)) << share;
+    }
+    EXPECT_EQ(Histogram().percentile(0.5), 0u);
+}
+
+TEST(Scenarios, NameTheKeyAndTheLineOfWhatIsWrong) {
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"duration_s = \"long\"\n", "s.toml:1: 'duration_s' expects a number from 0.1 to 3600"},
+        {"[sidecars]\ncount = 0\n", "s.toml:2: 'sidecars.count' expects a whole number from 1 to 256"},
+        {"[servers]\nslotz = 4\n", "s.toml:2: 'servers.slotz' is not a known key"},
+        {"[servers.latency]\nkind = \"gamma\"\n", "s.toml:2: 'servers.latency.kind' is not one of constant"},
+        {"[servers.latency]\nkind = \"constant\"\nsigma = 1\n",
+         "s.toml:3: 'servers.latency.sigma' is not a known key"},
+        {"[[faults]]\nkind = \"quake\"\n", "s.toml:2: 'faults.kind' is not one of partition, delay"},
+        {"[[faults]]\nkind = \"kill\"\nat_s = 1\ntargets = [\"n2\"]\n",
+         "s.toml:4: 'faults.targets' names no node: \"n2\""},
+        {"[[faults]]\nkind = \"kill\"\nat_s = 1\ntargets = [\"s1\"]\n",
+         "s.toml:4: 'faults.targets' names a node that this fault can't befall: s1"},
+        {"[[faults]]\nkind = \"partition\"\nat_s = 1\nfrom = [\"*\"]\n", "s.toml:1: 'faults.to' is missing"},
+        {"[sidecars.options.log]\nlevel = 3\n", "'sidecars.options' is refused: sidecars.options:"},
+        {"[[clients.classes]]\neffect = \"once\"\n", "s.toml:1: 'clients.classes.name' is missing"},
+        {"zones = []\n", "s.toml:1: 'zones' expects at least one zone"},
+        {"a = [\n", "s.toml:"}};
+    for (const auto& [text, expected] : cases) try {
+            read_scenario(text, "s.toml");
+            ADD_FAILURE() << "taken: " << text;
+        } catch (const node::ConfigError& error) {
+            EXPECT_NE(std::string(error.what()).find(expected), std::string::npos) << error.what();
+        }
+}
+
+TEST(Scenarios, SelectNodesByGroupNameAndZone) {
+    const Scenario s =
+        read_scenario("zones = [\"a\", \"b\"]\n[sidecars]\ncount = 3\n[servers]\ncount = 2\n", "s.toml");
+    using Nodes = std::set<std::string>;
+    EXPECT_EQ(s.select("sidecars@a"), (Nodes{"n1", "n3"}));
+    EXPECT_EQ(s.select("@b"), (Nodes{"n2", "s2"}));
+    EXPECT_EQ(s.select("*"), (Nodes{"n1", "n2", "n3", "s1", "s2", "discovery"}));
+    EXPECT_EQ(s.select(std::vector<std::string>{"s2", "discovery"}), (Nodes{"s2", "discovery"}));
+    EXPECT_TRUE(s.select("n4").empty());
+}
+
+// Two plain sockets with the relay between them.
+struct RelayTest : testing::Test {
+    asio::io_context io;
+    Relay relay{1};
+    Tcp::acceptor server{io, any_tcp_port};
+    Tcp::endpoint link = relay.tcp_link("n1", "s1", server.local_endpoint());
+
+    bool until(const std::function<bool()>& reached,
+               std::chrono::milliseconds limit = std::chrono::seconds(8)) {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            io.restart();
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        return reached();
+    }
+    // The relay's own work on what came before is done when it answers.
+    Relay::RuleId cut(bool both_ways) {
+        Conditions silent;
+        silent.silent = true;
+        return relay.add({{"n1"}, {"s1", "n2"}, both_ways, silent});
+    }
+};
+
+TEST_F(RelayTest, ACutLinkIsSilentKeepsWhatWasSentAndTakesNoNewConnection) {
+    Tcp::socket near(io), far(io), late(io);
+    near.connect(link);
+    server.accept(far);
+    const auto rule = cut(true);
+    asio::write(near, asio::buffer("held", 4));
+    std::string got(4, ' ');
+    bool arrived = false, connected = false;
+    asio::async_read(far, asio::buffer(got), [&](error_code failed, std::size_t) { arrived = !failed; });
+    late.async_connect(link, [&](error_code failed) { connected = !failed; });
+    // A link that is not cut passes a whole exchange meanwhile; the cut one nothing.
+    Tcp::socket other_near(io), other_far(io);
+    const Tcp::endpoint other = relay.tcp_link("n3", "s1", server.local_endpoint());
+    other_near.connect(other);
+    server.accept(other_far);
+    asio::write(other_near, asio::buffer("pass", 4));
+    std::string passed(4, ' ');
+    asio::read(other_far, asio::buffer(passed));
+    EXPECT_EQ(passed, "pass");
+    EXPECT_FALSE(until([&] { return arrived || connected; }, std::chrono::milliseconds(300)));
+    relay.remove(rule);
+    EXPECT_TRUE(until([&] { return arrived && connected; }));
+    EXPECT_EQ(got, "held");
+}
+
+TEST_F(RelayTest, ANodeThatIsDownRefusesAndResetsAndComesBackAtItsAddress) {
+    Tcp::socket near(io), far(io);
+    near.connect(link);
+    server.accept(far);
+    relay.set_refused("s1", true);
+    char byte;
+    error_code failed;
+    near.read_some(asio::buffer(&byte, 1), failed);
+    EXPECT_EQ(failed, asio::error::connection_reset);
+    Tcp::socket refused(io);
+    refused.connect(link, failed);
+    EXPECT_EQ(failed, asio::error::connection_refused);
+    relay.set_refused("s1", false);
+    Tcp::socket again(io), accepted(io);
+    again.connect(link);
+    server.accept(accepted);
+    EXPECT_TRUE(accepted.is_open());
+}
+
+TEST_F(RelayTest, DatagramsComeFromTheSendersLinkAndAOneWayCutStopsOneWay) {
+    Udp::socket a(io, any_udp_port), b(io, any_udp_port);
+    const Udp::endpoint to_b = relay.udp_link("n1", "n2"), to_a = relay.udp_link("n2", "n1");
+    relay.set_udp_address("n1", a.local_endpoint());
+    relay.set_udp_address("n2", b.local_endpoint());
+    std::array<char, 8> buffer{};
+    Udp::endpoint from;
+    a.send_to(asio::buffer("ping", 4), to_b);
+    EXPECT_EQ(b.receive_from(asio::buffer(buffer), from), 4u);
+    EXPECT_EQ(from, to_a);  // as b knows a
+    cut(false);
+    a.send_to(asio::buffer("lost", 4), to_b);
+    b.send_to(asio::buffer("back", 4), to_a);
+    EXPECT_EQ(a.receive_from(asio::buffer(buffer), from), 4u);
+    EXPECT_EQ(from, to_b);
+    EXPECT_TRUE(until([&] { return relay.counts().datagrams_lost == 1; }));
+    EXPECT_EQ(b.available(), 0u);
+}
+
+// ---- The sidecars
+
+TEST_F(LabRig, RequestsTurnedAwayGoElsewhereAndThoseThatMayHaveRunDoNot) {
+    start("[servers]\ncount = 2\n" + three_classes);
+    Behaviour away;
+    away.turn_away_share = 1;
+    lab->server(0).set(away);
+    for (int i = 0; i < 6; ++i) {
+        const auto r = ask(0, 2);
+        EXPECT_EQ(r.end, End::served);
+        EXPECT_EQ(r.server, "s2");
+    }
+    EXPECT_GT(lab->server(0).counts().turned_away, 0u);
+    Behaviour broken;
+    broken.reset_share = 1;
+    lab->server(0).set(broken);
+    lab->server(1).set(broken);
+    const auto r = ask(0, 2);
+    EXPECT_NE(r.end, End::served);
+    EXPECT_EQ(lab->ledger().attempts_of(r.id), 1u);  // it may have run
+    EXPECT_EQ(lab->ledger().once_repeated(), 0u);
+}
+
+TEST_F(LabRig, AKilledSidecarsRequestsEndOnceAndItServesAgainUnderItsName) {
+    start("[sidecars]\ncount = 2\n[servers]\ncount = 2\n[servers.latency]\nkind = \"constant\"\nms = 400\n" +
+          three_classes);
+    std::vector<std::future<Clients::Result>> asked;
+    for (std::size_t i = 0; i < 9; ++i) asked.push_back(lab->clients().ask("n1", i % 3));
+    const auto arrived = [&] { return lab->server(0).counts().arrived + lab->server(1).counts().arrived; };
+    ASSERT_TRUE(lab->until([&] { return arrived() == 9; }));
+    lab->signal(0, SIGKILL);
+    for (auto& one : asked) {
+        const auto r = result(one);  // each future is set once, or throws
+        EXPECT_EQ(r.end, End::lost);
+        EXPECT_EQ(lab->ledger().attempts_of(r.id), 1u);
+    }
+    ASSERT_TRUE(lab->until([&] { return !lab->child(0)->running(); }));
+    EXPECT_EQ(ask(1).end, End::served);  // the other one is not touched
+    const auto before = lab->last_event(0, "sidecar.listening");
+    lab->restart(0);
+    ASSERT_TRUE(lab->until([&] { return lab->events(0, "sidecar.listening") == 2; }));
+    EXPECT_EQ(lab->last_event(0, "sidecar.listening")["listen"], before["listen"]);
+    for (std::size_t kind = 0; kind < 3; ++kind) EXPECT_EQ(ask(0, kind).end, End::served);
+    EXPECT_EQ(lab->ledger().once_repeated(), 0u);
+    EXPECT_FALSE(lab->report().sidecars[0].ended_badly);  // the lab killed it
+}
+
+TEST_F(LabRig, WithDiscoveryDownWhileServersChangeTheFleetGoesOnAndThenCatchesUp) {
+    start(R"(
+duration_s = 8
+[sidecars]
+count = 3
+[servers]
+count = 4
+[clients]
+rate = 40
+[[faults]]
+kind = "discovery"
+mode = "resetting"
+at_s = 1
+for_s = 5
+[[faults]]
+kind = "list"
+state = "Gone"
+targets = ["s1"]
+at_s = 2
+[[faults]]
+kind = "server_down"
+targets = ["s1"]
+at_s = 2.5
+)");
+    lab->play();
+    const auto known = [&](std::size_t i) { return lab->metrics(i).value("scan_servers_known", 0); };
+    for (std::size_t i = 0; i < 3; ++i) EXPECT_TRUE(lab->until([&] { return known(i) == 3; })) << known(i);
+    const Report report = lab->report();
+    const ClientTally all = report.clients();
+    EXPECT_GT(all.all.all(), 500u);
+    EXPECT_EQ(all.all[End::served], all.all.all());  // repeatable: each found a server that was up
+    EXPECT_EQ(report.once_repeated, 0u);
+}
+
+TEST_F(LabRig, HalfTheSidecarsCutOffFromHalfTheServersServeFromTheRest) {
+    start(R"(
+duration_s = 7
+zones = ["a", "b"]
+[sidecars]
+count = 4
+[servers]
+count = 4
+[clients]
+rate = 40
+[[faults]]
+kind = "partition"
+from = ["sidecars@a"]
+to = ["servers@b"]
+at_s = 1
+for_s = 3
+)" + three_classes);
+    lab->play();
+    const Report report = lab->report();
+    ASSERT_EQ(report.sidecars.size(), 4u);
+    for (const auto& sidecar : report.sidecars) {
+        const Tally& all = sidecar.clients.all;
+        EXPECT_GT(all.all(), 150u) << sidecar.name;
+        EXPECT_EQ(all[End::lost] + all[End::wrong] + all[End::unreachable], 0u) << sidecar.name;
+        // Those not cut off notice nothing.
+        if (sidecar.zone == "b") {
+            EXPECT_EQ(all[End::served], all.all()) << sidecar.name;
+        }
+        ASSERT_GE(sidecar.clients.seconds.size(), 7u);
+        const Tally& cut = sidecar.clients.seconds[3];
+        EXPECT_GT(cut[End::served] * 10, cut.all() * 8) << sidecar.name;
+        if (sidecar.zone == "a") {
+            EXPECT_EQ(cut.crossed, 0u) << sidecar.name;
+        }
+    }
+    EXPECT_EQ(report.once_repeated, 0u);
+    // Afterwards the servers that were cut off are found again.
+    EXPECT_TRUE(lab->until([&] { return ask(0).zone == "b"; }, 20000));
+}
+
+TEST_F(LabRig, AStoppedSidecarHoldsItsClientsAndGoesOnWhenContinued) {
+    start("[sidecars]\ncount = 2\n[servers]\ncount = 2\n");
+    lab->signal(0, SIGSTOP);
+    auto held = lab->clients().ask("n1", 0);
+    EXPECT_EQ(ask(1).end, End::served);
+    EXPECT_NE(held.wait_for(std::chrono::seconds(0)), std::future_status::ready);
+    lab->signal(0, SIGCONT);
+    EXPECT_EQ(result(held).end, End::served);
+}
+
+// ---- The program
+
+struct Started {
+    pid_t pid;
+    int status() const {
+        int status = 0;
+        EXPECT_EQ(::waitpid(pid, &status, 0), pid);
+        return status;
+    }
+};
+Started start_lab(const std::filesystem::path& scenario, const std::filesystem::path& out) {
+    const std::filesystem::path err = scenario.string() + ".err";
+    const pid_t pid = ::fork();
+    if (pid != 0) return {pid};
+    if (!std::freopen(err.c_str(), "w", stderr) || !std::freopen("/dev/null", "w", stdout)) ::_exit(126);
+    ::execl(MOTHRING_BIN, MOTHRING_BIN, "lab", scenario.c_str(), "--out", out.c_str(),
+            static_cast<char*>(nullptr));
+    ::_exit(127);
+}
+
+TEST_F(LabRig, ThePlayedScenarioIsReportedAndAWrongOneStartsNothing) {
+    std::ofstream(folder / "good.toml") << "duration_s = 1\n[sidecars]\ncount = 2\n[clients]\nrate = 50\n";
+    ASSERT_EQ(start_lab(folder / "good.toml", folder / "out").status(), 0);
+    std::ifstream file(folder / "out" / "report.json");
+    const Json report = Json::parse(file, nullptr, false);
+    ASSERT_TRUE(report.is_object());
+    const Json& all = report["overall"];
+    EXPECT_GT(all["requests"], 40);
+    EXPECT_EQ(all["served"], all["requests"]);
+    EXPECT_EQ(all["attempts"], all["requests"]);
+    EXPECT_EQ(report["sidecars"].size(), 2u);
+    EXPECT_GT(all["latency_ms"]["p50"], 0);
+    EXPECT_GT(std::filesystem::file_size(folder / "out" / "report.html"), 1000u);
+
+    std::ofstream(folder / "bad.toml") << "\n[sidecars]\ncount = \"two\"\n";
+    const int status = start_lab(folder / "bad.toml", folder / "none").status();
+    EXPECT_EQ(WEXITSTATUS(status), 2);
+    EXPECT_FALSE(std::filesystem::exists(folder / "none"));
+    std::ifstream err(folder / "bad.toml.err");
+    std::string line;
+    std::getline(err, line);
+    EXPECT_NE(line.find("bad.toml:3: 'sidecars.count' expects a whole number"), std::string::npos) << line;
+}
+
+TEST_F(LabRig, ALabThatIsKilledLeavesNoProcess) {
+    // Whatever it leaves behind becomes this process's child.
+    ASSERT_EQ(::prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
+    std::ofstream(folder / "long.toml") << "duration_s = 60\n[sidecars]\ncount = 3\n[clients]\nrate = 20\n";
+    const Started started = start_lab(folder / "long.toml", folder / "out");
+    std::set<pid_t> pids;
+    asio::io_context io;
+    for (int look = 0; look < 400 && pids.size() < 3; ++look) {
+        for (const char* name : {"n1", "n2", "n3"}) {
+            std::ifstream log(folder / "out" / name / "log");
+            std::string line;
+            while (std::getline(log, line))
+                if (const auto event = Json::parse(line, nullptr, false);
+                    event.is_object() && event.value("event", "") == "sidecar.listening")
+                    pids.insert(event["pid"].get<pid_t>());
+        }
+        asio::steady_timer(io, std::chrono::milliseconds(25)).wait();
+    }
+    ASSERT_EQ(pids.size(), 3u);
+    ::kill(started.pid, SIGKILL);
+    EXPECT_TRUE(WIFSIGNALED(started.status()));
+    for (const pid_t pid : pids) {
+        int status = 0;
+        EXPECT_EQ(::waitpid(pid, &status, 0), pid);
+        EXPECT_TRUE(WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+        EXPECT_EQ(::kill(-pid, 0), -1);  // nothing is left of its group
+    }
+    ::prctl(PR_SET_CHILD_SUBREAPER, 0);
+}
+
+}  // namespace
+}  // namespace mothring::lab::test
