A timer that ran out just before the sidecar's end does nothing after it

Symptom: BesideAnotherProcessItTakesHalf under the address sanitizer on a busy machine: heap-use-after-free in watch_twin, on a sidecar that the test had ended. Causes thought of: the twin's lock file (not touched by then: it is the first write that fails); the timer's cancelled handler (it checks the error); a handler whose timer had run out before the cancel, queued with success. The last: Asio's cancel can't call back what is already queued, and the trace shows the handler's own completion. Change: the sidecar's timers hold a weak token of its life. In the program the sidecar outlives the event loop, so nothing served was at risk.

--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -170,9 +170,7 @@
         give(Doubled{halved_});
     }
     twin_timer_.expires_after(span(kTwinLook));
-    twin_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) watch_twin();
-    });
+    twin_timer_.async_wait(unless_over([this] { watch_twin(); }));
 }
 
 std::optional<Tcp::endpoint> Sidecar::operator_address() const {
@@ -203,9 +201,9 @@
     if (!front_) return std::exchange(drained_, nullptr)();
     front_->drain(kAccepting);
     last_call_.expires_after(span(kLastCall));
-    last_call_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled && drained_) std::exchange(drained_, nullptr)();
-    });
+    last_call_.async_wait(unless_over([this] {
+        if (drained_) std::exchange(drained_, nullptr)();
+    }));
 }
 
 // ---- Events and actions -----------------------------------------------------------------------------------
@@ -524,9 +522,7 @@
 void Sidecar::arm() {
     if (due_.empty()) return;
     timer_.expires_at(clock_.when(due_.top().at));
-    timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) run_due();
-    });
+    timer_.async_wait(unless_over([this] { run_due(); }));
 }
 
 }  // namespace mothring::node
--- a/src/node/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -123,6 +123,14 @@
 
     void due(Millis at, std::variant<AttemptLimit, TimerToken> what);
     void run_due();
+    // What a timer does when it has run out. One that did so just before the sidecar's end, and whose turn
+    // comes only after it, does nothing.
+    template <class Work>
+    auto unless_over(Work work) const {
+        return [life = std::weak_ptr<const void>(life_), work](boost::system::error_code cancelled) {
+            if (!cancelled && !life.expired()) work();
+        };
+    }
     void arm();
 
     boost::asio::io_context& io_;
@@ -156,5 +164,6 @@
     boost::asio::steady_timer last_call_;  // of a drain
     std::function<void()> drained_;
 };
+    std::shared_ptr<const void> life_ = std::make_shared<const char>();
 
 }  // namespace mothring::node
