--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -69,6 +69,7 @@
 
 View Membership::view() const {
     View view;
+    view.stands = !superseded_;
     view.alive = 1;
     for (const auto& [name, record] : records_) {
         switch (record.claim.state) {
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -85,8 +85,9 @@
 // `quorum`: more than half of these are present, so that what is shared by count may be.
 struct View {
     std::size_t alive = 0, suspect = 0, dead = 0, left = 0, expected = 0;
+    bool stands = true;  // false: it is not kept up any more (superseded)
     std::size_t present() const { return alive + suspect; }
-    bool quorum() const { return 2 * present() > expected; }
+    bool quorum() const { return stands && 2 * present() > expected; }
 };
 
 class Membership {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -87,6 +87,32 @@
     EXPECT_EQ(me.self().state, State::alive);
 }
 
+TEST(Claims, OfAnotherLifeWithAGreaterIncarnationSupersedeThisOneOnceItHasMetAnybody) {
+    Claim self;
+    self.name = "me";
+    self.incarnation = 5;
+    self.life = 1;
+    Membership starting(self, parameters, 1), old(self, parameters, 1);
+    Claim other = claim_about("me", State::alive, 9, "");
+    other.life = 2;
+    Effects effects;
+    starting.merge(1, {other}, "x", effects);  // what is left of an earlier life: it is over
+    EXPECT_FALSE(starting.superseded());
+    EXPECT_EQ(starting.self().incarnation, 10u);
+    old.merge(1, {claim_about("x", State::alive, 1, "")}, "x", effects);
+    EXPECT_TRUE(old.view().quorum());
+    old.merge(1, {other}, "x", effects);
+    EXPECT_TRUE(old.superseded());
+    EXPECT_FALSE(old.view().quorum());
+    Message ping;
+    ping.from = "x";
+    ping.target = "me";
+    Effects silent;
+    old.receive(2, ping, "", silent);
+    old.tick(1e9, silent);
+    EXPECT_TRUE(silent.sends.empty());
+}
+
 TEST(Suspicion, LastsFromTheGreatestToTheLeastAsOthersConfirm) {
     for (const std::size_t members : {4, 8, 64, 1000}) {
         const Millis least = parameters.suspicion_timeout(members, 1000);
