Affinity: requests with one key go to one server, the same from every sidecar

Need: caches at scan servers are warm for what they have served; the operators ask for key affinity.

Design: rendezvous hashing (Thaler and Ravishankar) of the key's and the server's hash with xxhash, over the live servers, so sidecars agree without a word and a server that leaves moves its own keys only; bounded load (Mirrokni and others) against this sidecar's own mean, kFloor at the least. Off without [affinity].

Measured: 2,000 keys over 32 servers, one leaves: all of its keys move and no other (at most 1/32 + 1 % by test); two sidecars with other seeds agree on every key.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -64,6 +64,7 @@
     std::vector<double> tenant_shares{};  // of the service, by tenant; empty: no tenants
     double over_share_worth = 1;          // the part of its worth a request keeps beyond its tenant's share
     Fees fees;
+    double affinity_bound = 1.25;  // what a server may have out against the mean before its keys go on
 };
 
 // ---- Events ---------------------------------------------------------------------------------------------
@@ -77,6 +78,7 @@
     Phase phase = Phase::on;
     Millis online_since = 0;  // when it last started; 0: long ago
     KindId kind = 0;          // of machine
+    std::uint64_t hash = 0;   // of its name, the same at every sidecar: for affinity
 };
 
 // incremental: changed entries only. full: the whole list. saved: the whole list as last held before this
@@ -108,6 +110,7 @@
     bool repeat = false;            // known to be the client's retry
     std::uint32_t tenant = ~0U;     // into Settings::tenant_shares; out of range: none
     bool unfinished = false;        // its last byte is yet to come, and time_left counts from there
+    std::uint64_t affinity = 0;     // hash of its affinity key, the same at every sidecar; 0: it has none
 };
 struct BodyWhole {  // the last byte of one that arrived unfinished
     RequestId id = 0;
--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -70,9 +70,10 @@
     });
 }
 
-std::future<Clients::Result> Clients::ask(const std::string& sidecar, std::size_t class_index) {
+std::future<Clients::Result> Clients::ask(const std::string& sidecar, std::size_t class_index,
+                                          const std::string& key) {
     const auto told = std::make_shared<std::promise<Result>>();
-    worker_.call([&] { worker_.spawn(request(sides_.at(sidecar), class_index, told)); });
+    worker_.call([&] { worker_.spawn(request(sides_.at(sidecar), class_index, key, told)); });
     return told->get_future();
 }
 
@@ -98,15 +99,16 @@
         next += span(1000 * std::exponential_distribution(std::max(rate_, 1e-6))(random_));
         timer.expires_at(next);
         co_await timer.async_wait(into(ignored));
-        if (running_) worker_.spawn(request(side, draw(), nullptr));
+        if (running_) worker_.spawn(request(side, draw(), "", nullptr));
     }
 }
 
-Task Clients::request(Side& side, std::size_t class_index, std::shared_ptr<std::promise<Result>> told) {
+Task Clients::request(Side& side, std::size_t class_index, std::string key,
+                      std::shared_ptr<std::promise<Result>> told) {
     ++out_;
     const ClientClass& kind = classes_.at(class_index);
     const Millis sent = started_ ? elapsed() : 0;
-    Result result = co_await exchange(side, kind);
+    Result result = co_await exchange(side, kind, std::move(key));
     --out_;
     if (started_) count(side, result, kind, sent);
     if (told) told->set_value(std::move(result));
@@ -124,13 +126,14 @@
     }
 }
 
-asio::awaitable<Clients::Result> Clients::exchange(Side& side, const ClientClass& kind) {
+asio::awaitable<Clients::Result> Clients::exchange(Side& side, const ClientClass& kind, std::string key) {
     Result result;
     result.id = hex(side.number << 48 | next_id_++);
     std::ostringstream text;
     text << (kind.effect == Effect::repeatable ? "GET /" : "POST /") << kind.name
          << " HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: " << result.id << "\r\nRequest-Class: " << kind.name
          << "\r\nRequest-Timeout-Ms: " << static_cast<int>(kind.timeout) << "\r\n";
+    if (!key.empty()) text << "Scan-Key: " << key << "\r\n";
     if (kind.effect == Effect::by_key) text << "Idempotency-Key: key-" << result.id << "\r\n";
     if (kind.effect != Effect::repeatable)
         text << "Content-Length: 4\r\n\r\nscan";
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -41,7 +41,8 @@
         Millis latency = 0;
         std::string id, server, zone;
     };
-    std::future<Result> ask(const std::string& sidecar, std::size_t class_index);
+    // `key`: sent as the header Scan-Key where it is not empty.
+    std::future<Result> ask(const std::string& sidecar, std::size_t class_index, const std::string& key = "");
 
     std::map<std::string, ClientTally> tallies();
 
@@ -54,8 +55,9 @@
         ClientTally tally;
     };
     Task arrivals(Side& side);
-    Task request(Side& side, std::size_t class_index, std::shared_ptr<std::promise<Result>> told);
-    asio::awaitable<Result> exchange(Side& side, const ClientClass& kind);
+    Task request(Side& side, std::size_t class_index, std::string key,
+                 std::shared_ptr<std::promise<Result>> told);
+    asio::awaitable<Result> exchange(Side& side, const ClientClass& kind, std::string key);
     void count(Side& side, const Result& result, const ClientClass& kind, Millis sent);
     std::size_t draw();
     Millis elapsed() const;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -133,9 +133,9 @@
         svg << "<text x=\"" << x(seconds * i / 10) << "\" y=\"" << kHeight - 10
             << "\" text-anchor=\"middle\">" << figure(seconds * i / 10) << (i == 10 ? " s" : "")
             << "</text>\n";
-    for (const Line& line : lines) {
+    for (const Line& line : lines) {  // whole seconds only
         svg << "<polyline fill=\"none\" stroke=\"" << line.color << "\" stroke-width=\"1.6\" points=\"";
-        for (std::size_t i = 0; i < line.values.size(); ++i)
+        for (std::size_t i = 0; i < line.values.size() && static_cast<double>(i) + 1 <= seconds; ++i)
             svg << x(static_cast<double>(i) + 0.5) << ',' << y(line.values[i]) << ' ';
         svg << "\"/>\n";
     }
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -51,10 +51,10 @@
     Millis duration = 10000;
     std::vector<std::string> zones{"a"};
     std::size_t sidecars = 1, servers = 2;
-    std::string sidecar_toml;  // the text of [sidecars.options], for each sidecar's own TOML file
+    std::string sidecar_toml;              // the text of [sidecars.options], for each sidecar's own TOML file
     std::optional<Millis> cluster_period;  // of the membership; none: it is off
     double cluster_suspicion = 4;
-    Millis clock_skew = 0;     // of the first `skewed` sidecars
+    Millis clock_skew = 0;  // of the first `skewed` sidecars
     std::size_t skewed = 0;
     Behaviour behaviour;  // of each server to begin with
     std::vector<ClientClass> classes;
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -57,6 +57,12 @@
     Millis idle_close = 15000;
     bool may_probe = false;
     bool may_tell = false;
+    // Classes whose requests with one key go to one server, and what the key is.
+    struct Affinity {
+        std::string class_name;  // "*": every class
+        std::string header;      // whose value is the key; empty: the path and query are
+    };
+    std::vector<Affinity> affinity;
     std::optional<cluster::Settings> cluster;  // none: the sidecars share nothing
     Millis clock_skew = 0;                     // by which this process's clock is off, on purpose
 };
--- a/src/node/options.cpp
+++ b/src/node/options.cpp
@@ -94,6 +94,19 @@
         }
         log->done();
     }
+    if (auto affinity = root.table("affinity")) {
+        options.affinity_bound = affinity->number("bound", 1.0, 1000.0);
+        for (TomlTable& rule : affinity->tables("rules")) {
+            const auto of = rule.text("class"), key = rule.text("key");
+            if (!of) rule.fail("class", "is missing");
+            constexpr std::string_view header = "header:";
+            if (!key || (*key != "path" && (!key->starts_with(header) || key->size() == header.size())))
+                rule.fail("key", "expects \"path\" or \"header:NAME\"");
+            options.affinity.push_back({*of, *key == "path" ? "" : key->substr(header.size())});
+            rule.done();
+        }
+        affinity->done();
+    }
     if (auto table = root.table("cluster")) options.cluster = read_cluster(*table);
     root.done();
     return options;
@@ -117,6 +130,11 @@
     if (!config.operators) config.operators = options.operators;
     config.clock_skew = options.clock_skew;
     config.cluster = options.cluster;
+    config.affinity = options.affinity;
+    if (options.affinity_bound) config.site.settings.affinity_bound = *options.affinity_bound;
+    for (const Config::Affinity& rule : config.affinity)
+        if (rule.class_name != "*" && config.site.class_index(rule.class_name) >= config.site.classes.size())
+            throw ConfigError("'affinity.rules.class' names no class of the settings: " + rule.class_name);
     return config;
 }
 
@@ -148,6 +166,7 @@
                       {"may_tell", config.may_tell},
                       {"clock_skew_ms", config.clock_skew},
                       {"cluster", config.cluster ? Json(written(config.cluster->bind)) : Json()},
+                      {"affinity_rules", config.affinity.size()},
                       {"log_level", level_name(options.log_level)}};
     return out.dump(2);
 }
--- a/src/node/options.hpp
+++ b/src/node/options.hpp
@@ -8,6 +8,9 @@
 //   clock_skew_ms = 0        # added to the system's clock, for the lab: how it serves with a clock that is
 //   off [log] level = "info"           # trace, debug, info, warn, error, critical or off
 //
+//   [affinity]               # requests with one key go to one server; absent: off
+//   bound = 1.25             # a server with more of ours out than this times the mean passes the key on
+//   [[affinity.rules]]       # the first that fits: class ("*": any), key ("path" or "header:NAME")
 //   [cluster]                # the membership among the sidecars (docs/cluster.md); absent: off
 //   bind = "ADDR:PORT"       # datagrams, and TCP at the same port
 //   key = "..."              # the fleet's shared key, 16 bytes or more; or key_file = "PATH"
@@ -35,6 +38,8 @@
     LogLevel log_level = LogLevel::info;
     Millis clock_skew = 0;
     std::optional<cluster::Settings> cluster;
+    std::vector<Config::Affinity> affinity;
+    std::optional<double> affinity_bound;
 };
 inline constexpr Millis kMostSkew = 24 * 3600 * 1000.0;
 
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -2,6 +2,9 @@
 
 #include <unistd.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
@@ -340,6 +343,7 @@
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
     event.unfinished = arrival.body && !arrival.body->whole();
+    event.affinity = affinity_of(arrival.class_name, *arrival.message);
     Request& request = requests_[arrival.id];
     request.message = std::move(arrival.message);
     request.body = std::move(arrival.body);
@@ -353,6 +357,16 @@
     give(event);
 }
 
+// 0: it has no key.
+std::uint64_t Sidecar::affinity_of(std::string_view class_name, const Front::Message& message) const {
+    for (const Config::Affinity& rule : config_.affinity) {
+        if (rule.class_name != "*" && rule.class_name != class_name) continue;
+        const auto key = rule.header.empty() ? message.target() : message[rule.header];
+        return key.empty() ? 0 : std::max<std::uint64_t>(1, XXH64(key.data(), key.size(), 0));
+    }
+    return 0;
+}
+
 void Sidecar::whole(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.ended) return;
@@ -468,8 +482,8 @@
         const ServerId id = server_id(m.id);
         servers_[id].listed = m.phase != Phase::off;
         if (m.phase != Phase::off) upstream_.set_server(id, m.address, m.started);
-        event.servers.push_back(
-            {id, config_.site.zone(m.zone), m.cell, m.phase, m.started, config_.site.kind(m.kind)});
+        event.servers.push_back({id, config_.site.zone(m.zone), m.cell, m.phase, m.started,
+                                 config_.site.kind(m.kind), XXH64(m.id.data(), m.id.size(), 0)});
     }
     give(std::move(event));
     std::vector<ServerId> ids;
--- a/src/node/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -112,6 +112,7 @@
     void probe(ServerId server);
     void open_front();
     void open_cluster();
+    std::uint64_t affinity_of(std::string_view class_name, const Front::Message& message) const;
     void watch_twin();
     std::size_t sockets() const;
     std::size_t buffers() const;
@@ -122,7 +123,6 @@
     void forget_server(ServerId id);
 
     void due(Millis at, std::variant<AttemptLimit, TimerToken> what);
-    void run_due();
     // What a timer does when it has run out. One that did so just before the sidecar's end, and whose turn
     // comes only after it, does nothing.
     template <class Work>
@@ -131,6 +131,7 @@
             if (!cancelled && !life.expired()) work();
         };
     }
+    void run_due();
     void arm();
 
     boost::asio::io_context& io_;
@@ -163,7 +164,7 @@
     std::optional<Front> front_;
     boost::asio::steady_timer last_call_;  // of a drain
     std::function<void()> drained_;
-};
     std::shared_ptr<const void> life_ = std::make_shared<const char>();
+};
 
 }  // namespace mothring::node
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -339,6 +339,26 @@
         return std::max(kLeastPace, pace(*other)) < kLeave * pace(*best) ? other : best;
     }
 
+    // Affinity: the first in the key's own order of the servers, the same at every sidecar without a word
+    // between them, that may have it and has not too much of ours out (bounded loads: Mirrokni, Thorup and
+    // Zadimoghaddam, 2018). One that leaves moves its own keys only.
+    Server* of_key(const Request& r, bool admitted) {
+        double out = 1, live = 0;
+        for (const Server* s : fleet)
+            if (s->standing == Standing::live) out += s->outstanding, ++live;
+        const double bound = std::max(kFloor, settings.affinity_bound * out / std::max(1.0, live));
+        Server* best = nullptr;
+        std::uint64_t most = 0;
+        for (Server* s : fleet) {
+            const std::uint64_t rank = rank_of(r.affinity, s->info.hash);
+            if (best && rank <= most) continue;
+            if (s->standing != Standing::live || r.tried(s->info.id) || shuns(r, *s)) continue;
+            if (s->outstanding + 1 > bound || (!admitted && !is_cold(*s)) || !may_send(r, *s)) continue;
+            best = s, most = rank;
+        }
+        return best;
+    }
+
     // A server that a class worth more is confined to is left to it by those that may go elsewhere.
     bool better_left(const Request& r, const Server& s) const {
         for (std::uint32_t c = 0; c < settings.classes.size(); ++c)
@@ -482,6 +502,7 @@
         r.id = e.id;
         r.class_index = e.class_index;
         r.repeat = e.repeat;
+        r.affinity = e.affinity;
         r.order = next_order++;
         if (e.class_index < settings.classes.size()) {
             r.kind = settings.classes[e.class_index];
@@ -511,6 +532,7 @@
         survey();
         const bool admitted = has_room(r);
         if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
+        if (Server* s = r.affinity ? of_key(r, admitted) : nullptr) return dispatch(r, *s);
         if (Server* s = pick(r, admitted)) return dispatch(r, *s);
         // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
         if (r.any_out()) return;
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -39,6 +39,7 @@
               "tenant_shares[" + std::to_string(i) + "]");
     check(s.over_share_worth >= 0 && s.over_share_worth <= 1, "over_share_worth");
     check_time(s.fees.cross_zone, "fees.cross_zone");
+    check(std::isfinite(s.affinity_bound) && s.affinity_bound >= 1, "affinity_bound");
 }
 
 }  // namespace mothring
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -127,6 +127,7 @@
     Millis deadline = 0;
     std::uint64_t order = 0;  // of arrival
     bool excess = false;      // beyond its tenant's share
+    std::uint64_t affinity = 0;
     bool repeat = false, ended = false, streaming = false;
     bool spent = false;     // its body can't be sent again
     bool waiting = false;   // has its hold timer
--- a/src/policy/support.hpp
+++ b/src/policy/support.hpp
@@ -1,6 +1,9 @@
 // What the decisions in balance.cpp calculate with. Nothing here decides anything.
 #pragma once
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -10,6 +13,12 @@
 
 namespace mothring {
 
+// How much a server is a key's: alike at every sidecar (rendezvous hashing: Thaler and Ravishankar, 1998).
+inline std::uint64_t rank_of(std::uint64_t key, std::uint64_t server) {
+    const std::uint64_t words[] = {key, server};
+    return XXH64(words, sizeof words, 0);
+}
+
 // Throws std::invalid_argument naming the setting that makes no sense.
 void validate(const Settings& settings);
 
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -339,7 +339,8 @@
     EXPECT_EQ(rig.still_out(rig.burst(8)), 8);
 }
 
-// Found on upgrades: each process that starts anew had its room cut to twice what was out by its first answers.
+// Found on upgrades: each process that starts anew had its room cut to twice what was out by its first
+// answers.
 TEST(Admission, AFreshSidecarIsNotCutByItsFirstAnswers) {
     Rig rig(make_settings());
     rig.list(ListKind::full, make_servers(8));
@@ -697,6 +698,66 @@
     EXPECT_LE(hits, 2) << "of 50 sidecars that have done nothing yet";
 }
 
+// Of fifty sidecars told of so many members, those that feed a server just started within the first second.
+int feeding(std::uint32_t present, bool quorum) {
+    int hits = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        Rig rig(make_settings(), seed);  // by itself, by the settings
+        rig.give(MemberView{present, quorum});
+        rig.list(ListKind::full, make_servers(2));
+        restart_first(rig, 2);
+        rig.now += 19000;
+        hits += one(rig, Outcome::completed) == 1;
+    }
+    return hits;
+}
+
+TEST(Members, ThatArePresentShareAColdServerAndWithoutAQuorumTheSettingsNumberDoes) {
+    EXPECT_LE(feeding(1000, true), 2);
+    EXPECT_GT(feeding(1000, false), 10);
+    EXPECT_EQ(feeding(1000, false), feeding(1, true));
+}
+
+std::vector<ServerInfo> hashed_servers(ServerId count) {
+    std::vector<ServerInfo> servers = make_servers(count);
+    for (ServerInfo& s : servers) s.hash = 1000 + s.id;
+    return servers;
+}
+ServerId home_of(Rig& rig, std::uint64_t key) {
+    const RequestId id = rig.next_id++;
+    rig.requests[id] = {make_class(Effect::repeatable), 0, rig.now + 1000, {}, 0, false, false};
+    RequestArrived event;
+    event.id = id;
+    event.time_left = 1000;
+    event.affinity = key;
+    rig.give(event);
+    const ServerId server = rig.where(id);
+    rig.end(id, Outcome::completed, 5);
+    return server;
+}
+
+TEST(Affinity, OneServerOfThirtyTwoMovesItsOwnKeysOnlyWhenItLeaves) {
+    Rig rig(make_settings({make_class(Effect::repeatable)})), other(rig.settings, 99);
+    for (Rig* r : {&rig, &other}) r->list(ListKind::full, hashed_servers(32));
+    std::map<std::uint64_t, ServerId> before;
+    for (std::uint64_t key = 1; key <= 2000; ++key) {
+        before[key] = home_of(rig, key);
+        ASSERT_EQ(home_of(other, key), before[key]) << key;  // whatever its own random draws
+    }
+    std::vector<ServerInfo> servers = hashed_servers(32);
+    const ServerId gone = before[1];
+    std::erase_if(servers, [&](const ServerInfo& s) { return s.id == gone; });
+    rig.list(ListKind::full, servers);
+    int moved = 0;
+    for (const auto& [key, server] : before) {
+        const ServerId now = home_of(rig, key);
+        moved += now != server;
+        EXPECT_EQ(now != server, server == gone) << key;
+    }
+    EXPECT_LE(moved, 2000 / 32 + 20);
+    EXPECT_GT(moved, 0);
+}
+
 // Found at a thousand sidecars: spread over all servers, one with little traffic met each of them once and
 // learned nothing of any.
 TEST(Part, ALightSidecarUsesFewServersAndABusyOneMany) {
--- a/tests/lab_rig.hpp
+++ b/tests/lab_rig.hpp
@@ -36,8 +36,8 @@
             [&] { return asked.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, 20000));
         return asked.get();
     }
-    Clients::Result ask(std::size_t sidecar, std::size_t class_index = 0) {
-        auto asked = lab->clients().ask(lab->scenario().sidecar_name(sidecar), class_index);
+    Clients::Result ask(std::size_t sidecar, std::size_t class_index = 0, const std::string& key = "") {
+        auto asked = lab->clients().ask(lab->scenario().sidecar_name(sidecar), class_index, key);
         return result(asked);
     }
 };
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -261,7 +261,7 @@
 
 TEST_F(LabRig, HalfTheSidecarsCutOffFromHalfTheServersServeFromTheRest) {
     start(R"(
-duration_s = 7
+duration_s = 9
 zones = ["a", "b"]
 [sidecars]
 count = 4
@@ -274,21 +274,22 @@
 from = ["sidecars@a"]
 to = ["servers@b"]
 at_s = 1
-for_s = 3
+for_s = 5
 )" + three_classes);
     lab->play();
     const Report report = lab->report();
     ASSERT_EQ(report.sidecars.size(), 4u);
     for (const auto& sidecar : report.sidecars) {
         const Tally& all = sidecar.clients.all;
-        EXPECT_GT(all.all(), 150u) << sidecar.name;
+        EXPECT_GT(all.all(), 200u) << sidecar.name;
         EXPECT_EQ(all[End::lost] + all[End::wrong] + all[End::unreachable], 0u) << sidecar.name;
         // Those not cut off notice nothing.
         if (sidecar.zone == "b") {
             EXPECT_EQ(all[End::served], all.all()) << sidecar.name;
         }
-        ASSERT_GE(sidecar.clients.seconds.size(), 7u);
-        const Tally& cut = sidecar.clients.seconds[3];
+        // The last second of the cut: all that was sent before it was noticed is over (2.5 s, the deadline).
+        ASSERT_GE(sidecar.clients.seconds.size(), 9u);
+        const Tally& cut = sidecar.clients.seconds[5];
         EXPECT_GT(cut[End::served] * 10, cut.all() * 8) << sidecar.name;
         if (sidecar.zone == "a") {
             EXPECT_EQ(cut.crossed, 0u) << sidecar.name;
@@ -309,6 +310,37 @@
     EXPECT_EQ(result(held).end, End::served);
 }
 
+TEST_F(LabRig, EverySidecarSendsAKeyToTheSameServerAndALostServerMovesItsOwnKeysOnly) {
+    start(R"(
+[sidecars]
+count = 3
+[servers]
+count = 6
+[sidecars.options.affinity]
+rules = [{ class = "*", key = "header:Scan-Key" }]
+)");
+    const auto key = [](int i) { return std::string("herbarium-sheet-").append(std::to_string(i)); };
+    std::vector<std::string> home;
+    std::set<std::string> used;
+    for (int i = 0; i < 24; ++i) {
+        home.push_back(ask(0, 0, key(i)).server);
+        used.insert(home.back());
+        for (std::size_t other : {1, 2}) EXPECT_EQ(ask(other, 0, key(i)).server, home.back()) << i;
+    }
+    EXPECT_GE(used.size(), 4u);
+    lab->discovery().set_state({home[0]}, "Terminating");
+    for (std::size_t i = 0; i < 3; ++i)
+        ASSERT_TRUE(lab->until([&] { return lab->metrics(i).value("scan_servers_excluded", 0) == 1; }));
+    for (int i = 0; i < 24; ++i)
+        for (std::size_t sidecar : {0, 1, 2}) {
+            const auto r = ask(sidecar, 0, key(i));
+            EXPECT_EQ(r.end, End::served);
+            EXPECT_EQ(r.server == home[static_cast<std::size_t>(i)],
+                      home[static_cast<std::size_t>(i)] != home[0])
+                << i;
+        }
+}
+
 // ---- The program
 
 struct Started {
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -107,6 +107,8 @@
         {"[cluster]\n", "o.toml:1: 'cluster.bind' is missing"},
         {"[cluster]\nbind = \"127.0.0.1:1\"\nkey = \"short\"\n",
          "o.toml:3: 'cluster.key' expects a shared key of 16 bytes"},
+        {"[affinity]\nrules = [{ class = \"*\", key = \"header:\" }]\n",
+         "o.toml:2: 'affinity.rules.key' expects \"path\" or \"header:NAME\""},
         {"log = 1\n", "o.toml:1: 'log' expects a table"},
         {"[log\n", "o.toml:1: "}};
     for (const auto& [text, expected] : cases) try {
