The lab: a cut never waits, and a sidecar's ports stay its own while it is down

Symptoms, in 186 repeats of eleven multi-process tests: HalvesLoseTheirQuorum hung once until its limit of 120 s; AKilledMember failed once, the restarted member with 'cluster.bind' can't be listened on.

Thought of: sidecars stuck (their logs go on until the cut and show no suspicion after it, so no cut took effect); the test's wait (bounded at 30 s); the relay's thread stuck in the cut. The last: the connection that fills a cut listener's queue was waited for, and where another connection had just filled the queue it never comes up. It is begun and not waited for now.

The ports that a sidecar was given were free while it was dead, and another test's socket was given one. Each sidecar now listens at a loopback address of its own, where nobody else is given ports. Not taken: a placeholder socket on each port, as UDP can't be shared so.

--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -84,6 +84,8 @@
       folder_(std::filesystem::absolute(folder)),
       program_(std::filesystem::absolute(program)),
       key_(new_key()),
+      addresses_(127U << 24 | (1 + std::random_device{}() % 250) << 16 | std::random_device{}() % 250 << 8 |
+                 1),
       relay_(scenario_.seed),
       clients_(scenario_.classes, scenario_.rate, scenario_.seed + 1) {
     raise_descriptor_limit();
@@ -120,6 +122,12 @@
         SidecarProcess& s = sidecars_[i];
         s.name = scenario_.sidecar_name(i);
         s.folder = folder_ / s.name;
+        // An address of its own, so that nobody takes its ports while it is down: the system gives other
+        // sockets theirs at 127.0.0.1.
+        const asio::ip::address_v4 own(addresses_ + static_cast<std::uint32_t>(i));
+        s.listen.address(own);
+        s.operators.address(own);
+        s.peers.address(own);
         s.discovery = relay_.tcp_link(s.name, "discovery", discovery_->add_viewer(s.name));
         std::filesystem::create_directories(s.folder / "tmp");
     }
--- a/src/lab/lab.hpp
+++ b/src/lab/lab.hpp
@@ -141,7 +141,8 @@
 
     Scenario scenario_;
     std::filesystem::path folder_, program_;
-    std::string key_;  // of the cluster
+    std::string key_;          // of the cluster
+    std::uint32_t addresses_;  // the first sidecar's, in 127.0.0.0/8; the others' follow
     asio::io_context io_{1};
     std::shared_ptr<Ledger> ledger_ = std::make_shared<Ledger>();
     Relay relay_;
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -108,7 +108,10 @@
         link.acceptor->cancel(ignored);
         ::listen(link.acceptor->native_handle(), 0);
         link.filler.emplace(worker_.io(), Tcp::v4());
-        link.filler->connect(link.acceptor->local_endpoint(), ignored);
+        // Begun and not waited for: where the queue is full already it would never come up.
+        link.filler->native_non_blocking(true, ignored);
+        const Tcp::endpoint own = link.acceptor->local_endpoint();
+        ::connect(link.filler->native_handle(), own.data(), static_cast<socklen_t>(own.size()));
     } else {
         link.filler.reset();
         if (!link.refused) open(link);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -64,12 +64,18 @@
                               {"p50_ms", at_share(d.after, 0.5)},
                               {"p99_ms", at_share(d.after, 0.99)},
                               {"max_ms", at_share(d.after, 1)}});
-    std::map<std::string, std::size_t> events;
-    for (const auto& e : r.events) ++events[e.event];
+    // How often each was told, and when last: after a fault is over, that is when the views agreed again.
+    Json events = Json::object();
+    for (const auto& e : r.events) {
+        Json& told = events[e.event];
+        if (told.is_null()) told = {{"count", 0}};
+        told["count"] = told["count"].get<std::size_t>() + 1;
+        told["last_ms"] = e.at;
+    }
     std::vector<double> bytes = r.cluster_bytes_per_s;
     std::sort(bytes.begin(), bytes.end());
     return {{"detections", std::move(detections)},
-            {"events", events},
+            {"events", std::move(events)},
             {"bytes_sent_per_s", {{"p50", at_share(bytes, 0.5)}, {"max", at_share(bytes, 1)}}}};
 }
 
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -385,16 +385,13 @@
     EXPECT_NE(line.find("bad.toml:3: 'sidecars.count' expects a whole number"), std::string::npos) << line;
 }
 
-TEST_F(LabRig, ALabThatIsKilledLeavesNoProcess) {
-    // Whatever it leaves behind becomes this process's child.
-    ASSERT_EQ(::prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
-    std::ofstream(folder / "long.toml") << "duration_s = 60\n[sidecars]\ncount = 3\n[clients]\nrate = 20\n";
-    const Started started = start_lab(folder / "long.toml", folder / "out");
+// The processes of sidecars n1 to n3 that a lab started there, once they listen.
+std::set<pid_t> sidecars_of(const std::filesystem::path& out) {
     std::set<pid_t> pids;
     asio::io_context io;
     for (int look = 0; look < 400 && pids.size() < 3; ++look) {
         for (const char* name : {"n1", "n2", "n3"}) {
-            std::ifstream log(folder / "out" / name / "log");
+            std::ifstream log(out / name / "log");
             std::string line;
             while (std::getline(log, line))
                 if (const auto event = Json::parse(line, nullptr, false);
@@ -403,6 +400,28 @@
         }
         asio::steady_timer(io, std::chrono::milliseconds(25)).wait();
     }
+    return pids;
+}
+const std::string long_scenario = "duration_s = 60\n[sidecars]\ncount = 3\n[clients]\nrate = 20\n";
+
+TEST_F(LabRig, AnInterruptedLabStopsItsSidecarsAndReportsWhatItPlayed) {
+    std::ofstream(folder / "long.toml") << long_scenario;
+    const Started started = start_lab(folder / "long.toml", folder / "out");
+    const auto pids = sidecars_of(folder / "out");
+    EXPECT_EQ(pids.size(), 3u);
+    ::kill(started.pid, SIGINT);
+    EXPECT_EQ(WEXITSTATUS(started.status()), 130);
+    std::ifstream file(folder / "out" / "report.json");
+    EXPECT_TRUE(Json::parse(file, nullptr, false).value("interrupted", false));
+    for (const pid_t pid : pids) EXPECT_EQ(::kill(-pid, 0), -1);  // reaped
+}
+
+TEST_F(LabRig, ALabThatIsKilledLeavesNoProcess) {
+    // Whatever it leaves behind becomes this process's child.
+    ASSERT_EQ(::prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
+    std::ofstream(folder / "long.toml") << long_scenario;
+    const Started started = start_lab(folder / "long.toml", folder / "out");
+    const auto pids = sidecars_of(folder / "out");
     ASSERT_EQ(pids.size(), 3u);
     ::kill(started.pid, SIGKILL);
     EXPECT_TRUE(WIFSIGNALED(started.status()));
