--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -38,9 +38,11 @@
     log.logger->set_level(level);
 }
 
+bool logs(LogLevel level) { return the_log().logger->should_log(level); }
+
 void log(LogLevel level, std::string_view event, LogFields fields) {
+    if (!logs(level)) return;
     Log& log = the_log();
-    if (!log.logger->should_log(level)) return;
     try {
         LogFields line = LogFields::object();
         line["event"] = event;
--- a/src/node/log.hpp
+++ b/src/node/log.hpp
@@ -25,6 +25,9 @@
 // else goes under "value"). Never throws: a line that can't be written is lost, not the caller's work.
 void log(LogLevel level, std::string_view event, LogFields fields = LogFields::object());
 
+// Whether lines of that level are written: asked first where the fields alone cost something.
+bool logs(LogLevel level);
+
 // A log for a hot path: at most one line each `every`; the lines passed over in between are counted in
 // the next line's field "skipped". Single-threaded, as the sidecar's one io_context is.
 class LogLimit {
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -300,6 +300,9 @@
         [this, id = send.id, number](Front::Head head, std::shared_ptr<Pipe> body) {
             begun(id, number, std::move(head), std::move(body));
         });
+    if (logs(spdlog::level::debug))
+        log(spdlog::level::debug, "attempt.chosen",
+            {{"request", std::string(from["Request-Id"])}, {"server", server->second.name}});
     if (until < kNever) due(until, AttemptLimit{send.id, number});
 }
 
@@ -475,6 +478,16 @@
 }
 
 void Sidecar::list(ListKind kind, const MemberList& members) {
+    if (logs(spdlog::level::debug)) {
+        LogFields leaving = LogFields::array();
+        for (const Member& m : members.members)
+            if (m.phase != Phase::on) leaving.push_back(m.id);
+        log(spdlog::level::debug, "list.changed",
+            {{"version", members.version},
+             {"full", members.full},
+             {"entries", members.members.size()},
+             {"leaving", std::move(leaving)}});
+    }
     ServerList event{kind, {}};
     if (kind != ListKind::incremental)
         for (auto& [id, server] : servers_) server.listed = false;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -161,6 +161,8 @@
         written_ = last_ = false;
         const auto request = exchange_->request;
         auto& message = request->message;
+        if (logs(spdlog::level::debug))
+            log(spdlog::level::debug, "attempt.written", {{"request", std::string(message["Request-Id"])}});
         if (!request->body || request->body->whole()) {
             const auto body = request->body ? request->body->unread() : std::string_view();
             message.body() = boost::beast::span<const char>(body.data(), body.size());
