A watch that falls silent is noticed in 2 s instead of 6.5 s, and begun anew beside itself

Ruled out: an attempt chosen before and written late (attempt.written follows in the same millisecond); a list that came and was not used (list.changed stands in the millisecond of the answer); a call that hung while connecting (0.4 ms); renewals waiting their turn: 350 sidecars with holds of 1 s were all answered at 1000 ms, only calls that begin a watch queue (49 a second there, those that would wait over 1 s get 503 within 24 ms).

Change: hold 1.5 s and 0.5 s of lateness out of the 6 s, the sum stands in discovery.cpp. A late watch stays open until the next is answered, so a mere delay loses no place in the turn. A list under an older version is not taken, and the whole one asked for. Pushed lists are tried again within half of the drain's grace (150 ms here, before 400 ms): what the agent got while it was away counts at once. The log tells each call, its end and why.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -119,6 +119,7 @@
         config.site = read_site(fields);
         config.connect_timeout = fields.number_or("limits.connect-timeout-ms", config.connect_timeout);
         config.idle_close = fields.number_or("limits.idle-close-ms", config.idle_close);
+        config.drain_grace = fields.number_or("rules.stop-sending-within-ms", config.drain_grace);
         config.may_probe = fields.flag_or("limits.may-probe", false);
         config.may_tell = fields.flag_or("limits.may-tell", false);
     } catch (const FieldError& error) {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -18,9 +18,17 @@
 
 namespace {
 
-// A watch holds for less than it may, so that one that was lost unseen is soon replaced.
-constexpr Millis kHold = 5000;
-constexpr Millis kPatience = 1500;  // beyond the hold, or for a call that holds for nothing
+// What a watch that has fallen silent misses counts as told 6 s after that, or 2 s past its hold if that is
+// later (PROTOCOL, "Figures"). It may have done so right after its call, so with a hold of up to 4 s the list
+// has to be here anew 6 s after the call: 1.5 s of hold, 0.5 s for its answer to be late by, and 4 s left for
+// a whole fleet's calls, should all fall silent at once, as discovery handles new watches in turn. With a
+// hold of 4 s or more 1.5 s would be left.
+constexpr Millis kTold = 6000, kToldPastHold = 2000;
+constexpr Millis kHold = 1500, kLate = 500;
+static_assert(kHold + kToldPastHold <= kTold);
+// After SIGHUP what discovery reports counts as told 4 s after the signal (TERMS, "Reconfiguration").
+constexpr Millis kToldAfterMove = 4000;
+constexpr Millis kPatience = 1500;  // for a call that holds for nothing
 constexpr Millis kFirstBackoff = 25, kLongestBackoff = 400;
 constexpr std::size_t kListLimit = 8 * 1024 * 1024;
 
@@ -31,25 +39,37 @@
 public:
     Call(asio::io_context& io, const Tcp::endpoint& address) : address_(address), socket_(io), timer_(io) {}
 
-    using Done = std::function<void(bool answered, const std::string& body)>;
-    void get(const std::string& target, Millis patience, Done done) {
+    // What came of it: the body of a 200, or else why there is none.
+    struct Answer {
+        std::optional<std::string> body;
+        std::string why;
+    };
+    using Done = std::function<void(Answer answer)>;
+    // `late`: called once if there is no answer by then; the call stays out.
+    void get(const std::string& target, Millis patience, Done done, std::function<void()> late) {
         done_ = std::move(done);
+        since_ = Steady::now();
+        log(spdlog::level::debug, "discovery.call", {{"target", target}, {"connected", socket_.is_open()}});
         request_ = {http::verb::get, target, 11};
         request_.set(http::field::host,
                      address_.address().to_string() + ":" + std::to_string(address_.port()));
         timer_.expires_after(span(patience));
-        timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
-            if (const auto self = weak.lock(); self && !cancelled) self->end(false);
+        timer_.async_wait([weak = weak_from_this(), late = std::move(late)](error_code cancelled) {
+            if (const auto self = weak.lock(); self && !cancelled && self->done_) late();
         });
         if (socket_.is_open()) return write();
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
-            if (failed) return self->end(false);
+            if (failed) return self->end("not connected: " + failed.message());
+            log(spdlog::level::debug, "discovery.connected", {{"after_ms", self->age()}});
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
             self->write();
         });
     }
     bool open() const { return socket_.is_open(); }
+    bool out() const { return done_ != nullptr; }
+    const Tcp::endpoint& address() const { return address_; }
+    Steady::time_point since() const { return since_; }
     void close() {
         done_ = nullptr;
         drop();
@@ -58,7 +78,7 @@
 private:
     void write() {
         http::async_write(socket_, request_, [self = shared_from_this()](error_code failed, std::size_t) {
-            if (failed) return self->end(false);
+            if (failed) return self->end("not written: " + failed.message());
             self->read();
         });
     }
@@ -66,7 +86,10 @@
         parser_.emplace();
         async_read_bounded(socket_, buffer_, *parser_, kListLimit,
                            [self = shared_from_this()](error_code failed) {
-                               self->end(!failed && self->parser_->get().result() == http::status::ok);
+                               if (failed) return self->end("broken off: " + failed.message());
+                               const auto& answer = self->parser_->get();
+                               const bool ok = answer.result() == http::status::ok;
+                               self->end(ok ? "" : "status " + std::to_string(answer.result_int()));
                            });
     }
     void drop() {
@@ -74,13 +97,20 @@
         socket_.close(ignored);
         timer_.cancel();
     }
-    void end(bool answered) {
+    // `why`: empty where there is an answer.
+    void end(std::string why) {
         const Done done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
-        if (!answered || !parser_->keep_alive()) drop();
-        done(answered, answered ? parser_->get().body() : std::string());
+        if (!why.empty() || !parser_->keep_alive()) drop();
+        Answer answer;
+        if (why.empty()) answer.body = std::move(parser_->get().body());
+        log(spdlog::level::debug, "discovery.ended",
+            {{"after_ms", age()}, {"why", why}, {"bytes", answer.body ? answer.body->size() : 0}});
+        answer.why = std::move(why);
+        done(std::move(answer));
     }
+    Millis age() const { return std::chrono::duration<Millis, std::milli>(Steady::now() - since_).count(); }
 
     Tcp::endpoint address_;
     Tcp::socket socket_;
@@ -89,80 +119,152 @@
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     Done done_;
+    Steady::time_point since_;  // of the call that is out
 };
 
+Discovery::Timing Discovery::timing(Millis drain_grace) {
+    // Where lists are pushed, what the agent got while it could not be reached counts at once when it is
+    // back: half of the grace to try again, the other half to be answered.
+    return {kHold, kLate, std::clamp(drain_grace / 2, kFirstBackoff, kLongestBackoff)};
+}
+
 Discovery::Discovery(asio::io_context& io, const Tcp::endpoint& address, std::uint64_t version,
-                     bool persistent, Callbacks callbacks)
+                     bool persistent, Timing timing, Callbacks callbacks)
     : io_(io),
       address_(address),
       version_(version),
       persistent_(persistent),
+      timing_(timing),
       callbacks_(std::move(callbacks)),
       timer_(io),
       backoff_(kFirstBackoff) {}
 
 Discovery::~Discovery() {
-    if (watch_) watch_->close();
-    if (fetch_) fetch_->close();
+    drop(watch_);
+    drop(late_);
+    drop(fetch_);
+}
+
+void Discovery::drop(std::shared_ptr<Call>& call) {
+    if (call) call->close();
+    call = nullptr;
 }
 
 void Discovery::watch(bool active) {
+    if (active && watch_ && watch_->out()) return;
     active_ = active;
     timer_.cancel();
-    if (watch_) watch_->close();
-    watch_ = nullptr;
-    if (active) begin();
+    if (active) return begin();
+    drop(watch_);
+    drop(late_);
 }
 
 void Discovery::begin() {
     if (!watch_ || !watch_->open()) watch_ = std::make_shared<Call>(io_, address_);
-    watch_->get("/catalog/members?from=" + std::to_string(version_) +
-                    "&hold_ms=" + std::to_string(static_cast<int>(kHold)),
-                kHold + kPatience,
-                [this](bool answered, const std::string& body) { finished(false, answered, body); });
+    std::string target = "/catalog/members";
+    if (!whole_)
+        target += "?from=" + std::to_string(version_) +
+                  "&hold_ms=" + std::to_string(static_cast<int>(timing_.hold));
+    watch_->get(
+        target, timing_.hold + timing_.late,
+        [this, call = watch_.get()](Call::Answer answer) {
+            finished(*call, std::move(answer.body), std::move(answer.why));
+        },
+        [this, call = watch_.get()] { overdue(*call); });
 }
 
+// It may have fallen silent, or be waiting its turn: the next is begun beside it, so that a mere delay costs
+// nothing. Where that one is late too, it takes the place of the first.
+void Discovery::overdue(const Call& call) {
+    if (&call != watch_.get()) return;
+    told_by(call.since() + span(std::max(kTold, timing_.hold + kToldPastHold)));
+    drop(late_);
+    late_ = std::exchange(watch_, nullptr);
+    failed("no answer in time", true);
+}
+
+void Discovery::told_by(Steady::time_point at) { told_at_ = told_at_ ? std::min(*told_at_, at) : at; }
+
 void Discovery::fetch() {
-    if (fetch_ && fetch_->open()) return;  // one is out
+    if (fetch_ && fetch_->out()) return;
     fetch_ = std::make_shared<Call>(io_, address_);
-    fetch_->get("/catalog/members", kPatience, [this](bool answered, const std::string& body) {
-        fetch_->close();
-        finished(true, answered, body);
-    });
+    fetch_->get(
+        "/catalog/members", kPatience,
+        [this, call = fetch_.get()](Call::Answer answer) {
+            finished(*call, std::move(answer.body), std::move(answer.why));
+        },
+        [this] {
+            drop(fetch_);
+            failed("no answer in time", false);
+        });
 }
 
 void Discovery::move(const Tcp::endpoint& address) {
     address_ = address;
     backoff_ = kFirstBackoff;
-    if (active_) watch(true);
-    if (!fetch_ || !fetch_->open()) return;
-    fetch_->close();
+    if (active_) {
+        told_by(Steady::now() + span(kToldAfterMove));
+        watch(false);
+        watch(true);
+    }
+    if (!fetch_ || !fetch_->out()) return;
+    drop(fetch_);
     fetch();
 }
 
-void Discovery::finished(bool fetched, bool answered, const std::string& body) {
+void Discovery::finished(const Call& call, std::optional<std::string> body, std::string why) {
+    const bool fetched = &call == fetch_.get(), late = &call == late_.get();
     std::optional<MemberList> list;
-    std::string why = "no answer";
     try {
-        if (answered) list = read_members(body);
+        if (body) list = read_members(*body);
     } catch (const std::exception& error) {
         why = error.what();
-        if (!fetched) watch_ = nullptr;
     }
-    if (list) {
-        backoff_ = kFirstBackoff;
-        told_ = false;
-        version_ = list->version;
-        if (!fetched && active_) begin();  // before anything else: the next watch is due
-        if (list->full || !list->members.empty()) callbacks_.changed(std::move(*list));
-        return;
+    // Older than what is held: that is kept, and the whole list asked for, whatever its version may be.
+    if (list && !fetched && !whole_ && list->version < version_) {
+        why = "version " + std::to_string(list->version) + " after " + std::to_string(version_);
+        list.reset();
+        whole_ = !late;
+    }
+    if (fetched) {
+        drop(fetch_);
+    } else if (late && !list) {  // the other goes on
+        if (body) log(spdlog::level::warn, "discovery.ignored", {{"why", why}});
+        return drop(late_);
+    } else if (late) {
+        drop(watch_);
+        timer_.cancel();
+        watch_ = std::move(late_);
+    } else if (list) {
+        drop(late_);
+    } else if (body) {
+        drop(watch_);
+    }
+    if (!list) return failed(why, !fetched);
+    backoff_ = kFirstBackoff;
+    told_at_.reset();
+    version_ = list->version;
+    if (!fetched) {
+        whole_ = false;
+        if (active_) begin();  // before anything else: the next watch is due
     }
+    const bool again = std::exchange(told_, false);
+    if (again) log(spdlog::level::info, "discovery.answers", {{"version", version_}});
+    if (list->full || !list->members.empty() || again) callbacks_.changed(std::move(*list));
+}
+
+// `again`: a watch, which is to be begun anew.
+void Discovery::failed(const std::string& why, bool again) {
     if (!std::exchange(told_, true)) log(spdlog::level::warn, "discovery.failed", {{"why", why}});
-    if (!persistent_ || fetched) return callbacks_.failed();
+    if (!persistent_ || !again) {
+        std::optional<Millis> within;
+        if (told_at_) within = std::chrono::duration<Millis, std::milli>(*told_at_ - Steady::now()).count();
+        return callbacks_.failed(within);
+    }
     timer_.expires_after(span(backoff_));
-    backoff_ = std::min(2 * backoff_, kLongestBackoff);
+    backoff_ = std::min(2 * backoff_, timing_.longest_backoff);
     timer_.async_wait([this](error_code cancelled) {
-        if (!cancelled && active_) begin();
+        if (!cancelled && active_) watch(true);
     });
 }
 
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -3,8 +3,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/config.hpp"
@@ -14,34 +16,52 @@
 class Discovery {
 public:
     struct Callbacks {
-        std::function<void(MemberList)> changed;
-        std::function<void()> failed;  // only where the watch does not go on by itself
+        std::function<void(MemberList)> changed;  // also without entries: the first answer after a failure
+        // Only where the watch does not go on by itself. The time (ms) after which what the list held may
+        // have missed counts as told, below 0 once it does; none: the watch did not fall silent.
+        std::function<void(std::optional<Millis> told_within)> failed;
     };
+    // Of a watch; its figures are derived in discovery.cpp.
+    struct Timing {
+        Millis hold;             // asked for; an unbroken watch shows that often that it is one
+        Millis late;             // past the hold: it may have fallen silent
+        Millis longest_backoff;  // between tries of a persistent one
+    };
+    // `drain_grace` (rules.stop-sending-within-ms): for so long sends may go on after a drain was told.
+    static Timing timing(Millis drain_grace);
 
     // `persistent`: a watch that fails is begun again by itself; else whoever wants it asks for it anew.
     Discovery(boost::asio::io_context& io, const Tcp::endpoint& address, std::uint64_t version,
-              bool persistent, Callbacks callbacks);
+              bool persistent, Timing timing, Callbacks callbacks);
     ~Discovery();
 
-    void watch(bool active);
-    void fetch();  // the whole list, once
+    void watch(bool active);  // one that is out goes on
+    void fetch();             // the whole list, once
     // What is out goes on at the new address.
     void move(const Tcp::endpoint& address);
 
 private:
     class Call;
+    using Steady = std::chrono::steady_clock;
     void begin();
-    void finished(bool fetched, bool answered, const std::string& body);
+    void overdue(const Call& call);
+    void told_by(Steady::time_point at);
+    void finished(const Call& call, std::optional<std::string> body, std::string why);
+    void failed(const std::string& why, bool again);
+    static void drop(std::shared_ptr<Call>& call);
 
     boost::asio::io_context& io_;
     Tcp::endpoint address_;
     std::uint64_t version_;
     bool persistent_;
+    Timing timing_;
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;  // of the next try
-    std::shared_ptr<Call> watch_, fetch_;
+    // `late_`: a watch that may have fallen silent, or be slow: kept until one of the two is answered.
+    std::shared_ptr<Call> watch_, late_, fetch_;
+    std::optional<Steady::time_point> told_at_;  // when what the list held may have missed counts as told
     Millis backoff_;
-    bool active_ = false, told_ = false;
+    bool active_ = false, told_ = false, whole_ = false;
 };
 
 }  // namespace mothring::node
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -180,6 +180,48 @@
     until([&] { return watched_from("42"); });
 }
 
+// A watch that falls silent right after its call misses drains that count as told 6 s later (PROTOCOL,
+// "Figures"): another is out in time for a whole fleet's calls to be handled in turn, and the first is left
+// once that one is answered.
+TEST_F(Net, AWatchThatFellSilentIsBegunAnewBesideItInTime) {
+    start();
+    until([&] { return agent.requests.size() == 1; });
+    const auto called = std::chrono::steady_clock::now();
+    until([&] { return agent.requests.size() == 2; });
+    EXPECT_LE(std::chrono::steady_clock::now() - called, std::chrono::milliseconds(3000));
+    EXPECT_EQ(agent.connections.size(), 2u);
+    EXPECT_EQ(agent.ended(), 0u) << "it may only be slow";
+    tell(list_json(42, false, {{"s-a", a.address(), "Terminating"}}));
+    until([&] { return watched_from("42") && agent.ended() == 1; });
+    EXPECT_EQ(agent.connections.size(), 2u);
+    for (int i = 0; i < 8; ++i) EXPECT_EQ(ask(request("listen", std::to_string(i))).result_int(), 200u);
+    EXPECT_EQ(a.requests.size(), 0u);
+}
+
+TEST_F(Net, AWatchThatWasOnlySlowGoesOn) {
+    start();
+    until([&] { return agent.requests.size() == 2; });
+    agent.send(0, response("200 OK", list_json(42, false, {{"s-a", a.address(), "Terminating"}})));
+    until([&] { return watched_from("42") && agent.ended() == 1; });
+    EXPECT_EQ(agent.connections[0]->requests, 2u);
+    EXPECT_TRUE(agent.connections[1]->ended);
+}
+
+// An older version than what is held changes nothing; the whole list is asked for, and that is taken as it
+// is.
+TEST_F(Net, AnOlderListIsNotTakenUntilItIsTheWholeOne) {
+    start();
+    until([&] { return watched_from("41"); });
+    tell(list_json(30, false, {{"s-a", a.address(), "Terminating"}, {"s-b", b.address(), "Terminating"}}));
+    until([&] { return agent.requests.back().target() == "/catalog/members"; });
+    EXPECT_EQ(ask(request("listen", "id-1")).result_int(), 200u);
+    tell(list_json(30, true, {{"s-b", b.address()}}));
+    until([&] { return watched_from("30"); });
+    const std::size_t before = a.requests.size();
+    for (int i = 0; i < 4; ++i) EXPECT_EQ(ask(request("listen", std::to_string(i))).result_int(), 200u);
+    EXPECT_EQ(a.requests.size(), before);
+}
+
 // SIGHUP: the watch goes on at the new address from the version that is held, and the old one is left.
 TEST_F(Net, AMovedDiscoveryIsWatchedWhereItIs) {
     ScriptedServer moved(io, silence);
