The wait after a failed call for the list follows the time left until it counts as told

Cause: the module's wait after a failure (0.5 to 1.5 s, doubled with each) knows nothing of the moment at which what was missed counts as told.

Ruled out: want of room at discovery. It answered 49 new watches a second, and 91 to 129 had fallen silent; those that never had a watch (held to four times ask-within) asked as often as those that were due.

Change: the failure says in how long what was missed counts as told, and the wait is a sixteenth of that, 150 ms at the least. Who has most time left leaves the others their turn.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -101,6 +101,9 @@
 struct ServerList {
     ListKind kind = ListKind::full;
     std::vector<ServerInfo> servers{};
+    // failed: after this what the list held has missed counts as told (below 0: it does), so that a drain
+    // nobody heard of has to be known by then; none: ask_within holds.
+    std::optional<Millis> told_within{};
 };
 struct RequestArrived {
     RequestId id = 0;               // never used twice
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -93,8 +93,8 @@
         Discovery::Callbacks{[this](MemberList changes) {
                                  list(changes.full ? ListKind::full : ListKind::incremental, changes);
                              },
-                             [this](std::optional<Millis>) {
-                                 give(ServerList{ListKind::failed, {}});
+                             [this](std::optional<Millis> told_within) {
+                                 give(ServerList{ListKind::failed, {}, told_within});
                              }});
     if (config_.may_tell && config_.peer_listen)
         peers_.emplace(io, *config_.peer_listen, config_.peers, config_.peers_all,
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -54,6 +54,10 @@
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
 constexpr Millis kNever = 1e15;
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+// Where it is known when what was missed counts as told: the part of the time to or since then that is
+// waited, and no less than that, as calls are handled in turn.
+constexpr double kAsks = 16;
+constexpr Millis kSoonest = 150;
 
 }  // namespace
 
@@ -180,9 +184,13 @@
     void on(const ServerList& list) {
         if (list.kind == ListKind::failed) {
             // The list is one service for all: come back later and not in step with the others, but in time:
-            // who has not asked for ask_within counts as told of every drain (rule 3).
+            // who has not asked for ask_within counts as told of every drain (rule 3). Where that moment is
+            // known, the more often the nearer it is: whoever has most time left leaves the others their
+            // turn.
             const Millis most = settings.ask_within > 0 ? settings.ask_within : kResubscribe * 8;
-            set_timer(now + std::min(resubscribe * (0.5 + random.unit()), most), std::nullopt);
+            const Millis left = list.told_within ? std::abs(*list.told_within) / kAsks : kNever;
+            const Millis wait = std::min(resubscribe, std::max(left, kSoonest));
+            set_timer(now + std::min(wait * (0.5 + random.unit()), most), std::nullopt);
             resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
             return;
         }
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -938,6 +938,33 @@
     EXPECT_EQ(waits.size(), 5U);
 }
 
+// Rule 3 for a watch that fell silent: as the moment comes near at which what it missed counts as told, the
+// calls come closer, however many have failed before.
+TEST(Lists, CallsComeCloserAsWhatWasMissedIsAboutToCountAsTold) {
+    Settings s = make_settings();
+    s.list_on_request = true;
+    s.ask_within = 10000;
+    Rig rig(s);
+    rig.give(Started{});
+    for (int i = 0; i < 6; ++i) rig.list(ListKind::failed, {});  // 503: nobody's watch was open yet
+    rig.timers.clear();
+    const auto wait = [&](std::optional<Millis> told_within) {
+        rig.give(ServerList{ListKind::failed, {}, told_within});
+        const Millis at = rig.timers.begin()->first;
+        rig.timers.clear();
+        return at - rig.now;
+    };
+    EXPECT_GT(wait({}), 2000) << "else with patience";
+    Millis told = rig.now + 4000;
+    int calls = 0;
+    for (; rig.now < told; ++calls) rig.now += wait(told - rig.now);
+    EXPECT_GE(calls, 10);
+    EXPECT_LE(calls, 60) << "a fleet's calls are handled in turn";
+    // An answer without entries ends the failures before it.
+    rig.list(ListKind::incremental, {});
+    EXPECT_LE(wait({}), 1500);
+}
+
 // ---- The rest -------------------------------------------------------------------------------------------
 
 TEST(Lists, AFailedSubscriptionIsRenewedBeforeItsAgeCounts) {
