--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -41,6 +41,29 @@
     return claim;
 }
 
+// A fleet's whole state, with names as long as a host's may be, fits into one exchange and one view.
+TEST(Claims, OfAThousandMembersPassWholeInOneExchange) {
+    Sync sync{"m0", 1, true, {}};
+    for (int i = 0; i < 1024; ++i) {
+        std::string name = std::to_string(i);
+        name.append(253 - name.size(), 'x');
+        sync.claims.push_back(claim_about(name, State::alive, 1, ""));
+        sync.claims.back().udp = sync.claims.back().tcp = "255.255.255.255:65535";
+    }
+    const std::string key(Codec::kShortestKey, 'k');
+    const Bytes bytes = Codec(key, "m0", 1).seal(sync);
+    const auto opened = Codec(key, "me", 2).open(bytes, Codec::kLongestSync);
+    ASSERT_TRUE(std::holds_alternative<Payload>(opened)) << bytes.size();
+    const auto& claims = std::get<Sync>(std::get<Payload>(opened)).claims;
+    Claim self;
+    self.name = "me";
+    Membership me(self, parameters, 1);
+    Effects effects;
+    me.merge(1, claims, "m0", effects);
+    EXPECT_EQ(me.view().present(), 1025U);
+    EXPECT_TRUE(me.view().quorum());
+}
+
 RC_GTEST_PROP(Claims, ComeToTheSameInAnyOrderAndHoweverOften, ()) {
     const auto drawn = *rc::gen::container<std::vector<std::pair<int, int>>>(
         rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(1, 6)));
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -222,6 +222,30 @@
     EXPECT_EQ(a.requests.size(), before);
 }
 
+// Some hundreds of servers are usual; 1,024 come whole and as changes, within the least limits of a
+// deployment.
+TEST_F(Net, AThousandServersComeWholeAndAsChanges) {
+    std::vector<Listed> many{{"s-b", b.address()}};
+    for (int i = 0; i < 1023; ++i) many.push_back({"s-" + std::to_string(i), a.address()});
+    start({{"s-b", b.address()}}, "256");
+    until([&] { return watched_from("41"); });
+    tell(list_json(42, true, many));
+    until([&] { return watched_from("42") && sidecar->metrics().known == 1024; });
+    for (int i = 0; i < 300; ++i) EXPECT_EQ(ask(request("listen", std::to_string(i))).result_int(), 200u);
+    EXPECT_GT(a.requests.size(), 200u);
+    // Every server has connections of its own, and each idle one makes room for another.
+    EXPECT_LE(a.connections.size() - a.ended() + b.connections.size() - b.ended(), (256u - 24u) / 2);
+    for (Listed& server : many)
+        if (server.id != "s-b") server.state = "Terminating";
+    tell(list_json(43, false, many));
+    until([&] { return watched_from("43"); });
+    const std::size_t before = a.requests.size();
+    for (int i = 0; i < 8; ++i)
+        EXPECT_EQ(ask(request("listen", "b-" + std::to_string(i))).result_int(), 200u);
+    EXPECT_EQ(a.requests.size(), before);
+    EXPECT_EQ(sidecar->metrics().excluded, 1023u);
+}
+
 // SIGHUP: the watch goes on at the new address from the version that is held, and the old one is left.
 TEST_F(Net, AMovedDiscoveryIsWatchedWhereItIs) {
     ScriptedServer moved(io, silence);
