Operators see how old a sidecar's list is: version, age, failing, calls made

Need: whether a sidecar holds to an old list showed only in its debug log.

Change: `list` in /metrics: the version held, the milliseconds since discovery last answered (null: not yet, the saved list is held), whether the last call failed or is late, and the calls made so far.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -159,7 +159,15 @@
     drop(late_);
 }
 
+Discovery::State Discovery::state() const {
+    State state{version_, calls_, {}, told_};
+    if (answered_at_)
+        state.age = std::chrono::duration<Millis, std::milli>(Steady::now() - *answered_at_).count();
+    return state;
+}
+
 void Discovery::begin() {
+    ++calls_;
     if (!watch_ || !watch_->open()) watch_ = std::make_shared<Call>(io_, address_);
     std::string target = "/catalog/members";
     if (!whole_)
@@ -187,6 +195,7 @@
 
 void Discovery::fetch() {
     if (fetch_ && fetch_->out()) return;
+    ++calls_;
     fetch_ = std::make_shared<Call>(io_, address_);
     fetch_->get(
         "/catalog/members", kPatience,
@@ -243,6 +252,7 @@
     if (!list) return failed(why, !fetched);
     backoff_ = kFirstBackoff;
     told_at_.reset();
+    answered_at_ = Steady::now();
     version_ = list->version;
     if (!fetched) {
         whole_ = false;
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -40,6 +40,14 @@
     // What is out goes on at the new address.
     void move(const Tcp::endpoint& address);
 
+    // Of the list that is held, for operators.
+    struct State {
+        std::uint64_t version = 0, calls = 0;  // made so far
+        std::optional<Millis> age;             // since discovery last answered; none: not yet
+        bool failing = false;                  // the last call failed, or is late
+    };
+    State state() const;
+
 private:
     class Call;
     using Steady = std::chrono::steady_clock;
@@ -59,6 +67,8 @@
     boost::asio::steady_timer timer_;  // of the next try
     // `late_`: a watch that may have fallen silent, or be slow: kept until one of the two is answered.
     std::shared_ptr<Call> watch_, late_, fetch_;
+    std::uint64_t calls_ = 0;
+    std::optional<Steady::time_point> answered_at_;
     std::optional<Steady::time_point> told_at_;  // when what the list held may have missed counts as told
     Millis backoff_;
     bool active_ = false, told_ = false, whole_ = false;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -1,5 +1,6 @@
 #include "node/metrics.hpp"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace mothring::node {
@@ -57,7 +58,12 @@
              {"attempts", metrics.attempts},
              {"in_flight", metrics.in_flight},
              {"scan_servers_known", metrics.known},
-             {"scan_servers_excluded", metrics.excluded}};
+             {"scan_servers_excluded", metrics.excluded},
+             {"list",
+              {{"version", metrics.list.version},
+               {"age_ms", metrics.list.age ? Json(std::round(*metrics.list.age)) : Json()},
+               {"failing", metrics.list.failing},
+               {"calls", metrics.list.calls}}}};
     if (metrics.cluster) all["cluster"] = json_of(*metrics.cluster);
     return all.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cluster/agent.hpp"
+#include "node/discovery.hpp"
 
 namespace mothring::node {
 
@@ -32,6 +33,7 @@
     // As of now, filled in by whoever has them renders.
     std::uint64_t attempts = 0;  // written whole
     std::size_t in_flight = 0, known = 0, excluded = 0;
+    Discovery::State list;
     std::optional<cluster::Figures> cluster;  // none: off
 };
 
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -187,6 +187,7 @@
     metrics.attempts = upstream_.stats().attempts;
     metrics.in_flight = flights_.size();
     metrics.known = listed_;
+    metrics.list = discovery_->state();
     metrics.excluded = balancer_.held().avoided;
     if (cluster_) metrics.cluster = cluster_->figures();
     return metrics;
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -43,12 +43,35 @@
     EXPECT_EQ(metrics.result_int(), 200u);
     EXPECT_FALSE(metrics.keep_alive());
     EXPECT_EQ(metrics["Content-Type"], "application/json");
-    EXPECT_EQ(Json::parse(metrics.body()), Json::parse(R"({"requests":{
+    Json figures = Json::parse(metrics.body());
+    EXPECT_EQ(figures["list"]["version"], 41);
+    figures.erase("list");
+    EXPECT_EQ(figures, Json::parse(R"({"requests":{
         "listen":{"served":0,"refused":0,"failed":0},"deposit":{"served":0,"refused":0,"failed":0},
         "annotate":{"served":0,"refused":0,"failed":0}},
         "attempts":0,"in_flight":0,"scan_servers_known":2,"scan_servers_excluded":0})"));
 }
 
+TEST_F(Operators, SeeHowOldTheListIs) {
+    start_both();
+    until([&] { return watched_from("41"); });
+    Json list = figures()["list"];
+    EXPECT_TRUE(list["age_ms"].is_null()) << "only the saved one is held";
+    EXPECT_EQ(list["calls"], 1);
+    tell(list_json(42, false, {}));
+    until([&] { return watched_from("42"); });
+    list = figures()["list"];
+    EXPECT_EQ(list["version"], 42);
+    EXPECT_EQ(list["calls"], 2);
+    EXPECT_LT(list["age_ms"], 1000);
+    EXPECT_EQ(list["failing"], false);
+    agent.connections.back()->socket.close();
+    agent.script = [](const auto&) { return Reply{response("503 Busy")}; };
+    until([&] { return agent.requests.size() >= 3; });
+    until([&] { return figures()["list"]["failing"] == true; });
+    EXPECT_EQ(figures()["list"]["version"], 42) << "it is kept";
+}
+
 TEST_F(Operators, WhatIsNoCallHasItsAnswerAndAnEnd) {
     start_both();
     EXPECT_EQ(get("/").result_int(), 404u);
