--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -265,6 +265,23 @@
     EXPECT_EQ(agent.requests.size(), 1u);
 }
 
+// Where lists are asked for, what the new address reports counts as told 4 s after the signal (TERMS): whom
+// it has no room for asks again until then, and not at the patient pace of other failures.
+TEST_F(Net, AMovedDiscoveryWithoutRoomIsAskedAgainInTime) {
+    ScriptedServer moved(io, [](const auto&) { return Reply{response("503 Busy")}; });
+    const auto config = [&](const std::string& discovery) {
+        std::string text = config_json(discovery, list_json(41, true, {{"s-a", a.address()}}));
+        const std::string pushed = "\"pushed\"";
+        return read_config(text.replace(text.find(pushed), pushed.size(), "\"on_request\""));
+    };
+    sidecar.emplace(io, config(agent.address()));
+    until([&] { return watched_from("41"); });
+    const auto signal = std::chrono::steady_clock::now();
+    sidecar->reconfigure(config(moved.address()));
+    until([&] { return moved.requests.size() == 8; });
+    EXPECT_LE(std::chrono::steady_clock::now() - signal, std::chrono::milliseconds(4000));
+}
+
 TEST_F(Net, BadRequestsAreAnsweredAndClosedWithoutTheModule) {
     start();
     const std::string head = "GET /listen HTTP/1.1\r\nHost: app.svc\r\n";
