The watch's fixed figures are constants again; one conversion to milliseconds

Need: found on rereading. `Discovery::Timing` carried a hold and a lateness that never differ, the told bound was computed with a max that a static_assert already settles, an accessor had no caller, and the cast to milliseconds stood five times; three tests set up the same settings.

Behaviour and assertions as before.

--- a/src/node/clock.hpp
+++ b/src/node/clock.hpp
@@ -8,19 +8,19 @@
 
 namespace mothring::node {
 
+inline Millis millis(auto length) { return std::chrono::duration<Millis, std::milli>(length).count(); }
+inline std::chrono::microseconds span(Millis length) {
+    return std::chrono::microseconds(static_cast<std::int64_t>(length * 1000));
+}
+
 class Clock {
 public:
     using Steady = std::chrono::steady_clock;
     // `skew`: by how much it is off, for experiments.
     explicit Clock(Millis skew = 0)
-        : unix_(skew +
-                std::chrono::duration<Millis, std::milli>(std::chrono::system_clock::now().time_since_epoch())
-                    .count()),
-          steady_(Steady::now()) {}
+        : unix_(skew + millis(std::chrono::system_clock::now().time_since_epoch())), steady_(Steady::now()) {}
 
-    Millis now() const {
-        return unix_ + std::chrono::duration<Millis, std::milli>(Steady::now() - steady_).count();
-    }
+    Millis now() const { return unix_ + millis(Steady::now() - steady_); }
     // The first moment at which now() has reached it.
     Steady::time_point when(Millis at) const {
         return steady_ +
@@ -32,8 +32,4 @@
     Steady::time_point steady_;
 };
 
-inline std::chrono::microseconds span(Millis length) {
-    return std::chrono::microseconds(static_cast<std::int64_t>(length * 1000));
-}
-
 }  // namespace mothring::node
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -68,7 +68,6 @@
     }
     bool open() const { return socket_.is_open(); }
     bool out() const { return done_ != nullptr; }
-    const Tcp::endpoint& address() const { return address_; }
     Steady::time_point since() const { return since_; }
     void close() {
         done_ = nullptr;
@@ -110,7 +109,7 @@
         answer.why = std::move(why);
         done(std::move(answer));
     }
-    Millis age() const { return std::chrono::duration<Millis, std::milli>(Steady::now() - since_).count(); }
+    Millis age() const { return millis(Steady::now() - since_); }
 
     Tcp::endpoint address_;
     Tcp::socket socket_;
@@ -122,19 +121,15 @@
     Steady::time_point since_;  // of the call that is out
 };
 
-Discovery::Timing Discovery::timing(Millis drain_grace) {
-    // Where lists are pushed, what the agent got while it could not be reached counts at once when it is
-    // back: half of the grace to try again, the other half to be answered.
-    return {kHold, kLate, std::clamp(drain_grace / 2, kFirstBackoff, kLongestBackoff)};
-}
-
 Discovery::Discovery(asio::io_context& io, const Tcp::endpoint& address, std::uint64_t version,
-                     bool persistent, Timing timing, Callbacks callbacks)
+                     bool persistent, Millis drain_grace, Callbacks callbacks)
     : io_(io),
       address_(address),
       version_(version),
       persistent_(persistent),
-      timing_(timing),
+      // Where lists are pushed, what the agent got while it could not be reached counts at once when it is
+      // back: half of the grace to try again, the other half to be answered.
+      longest_backoff_(std::clamp(drain_grace / 2, kFirstBackoff, kLongestBackoff)),
       callbacks_(std::move(callbacks)),
       timer_(io),
       backoff_(kFirstBackoff) {}
@@ -161,8 +156,7 @@
 
 Discovery::State Discovery::state() const {
     State state{version_, calls_, {}, told_};
-    if (answered_at_)
-        state.age = std::chrono::duration<Millis, std::milli>(Steady::now() - *answered_at_).count();
+    if (answered_at_) state.age = millis(Steady::now() - *answered_at_);
     return state;
 }
 
@@ -171,10 +165,9 @@
     if (!watch_ || !watch_->open()) watch_ = std::make_shared<Call>(io_, address_);
     std::string target = "/catalog/members";
     if (!whole_)
-        target += "?from=" + std::to_string(version_) +
-                  "&hold_ms=" + std::to_string(static_cast<int>(timing_.hold));
+        target += "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(kHold));
     watch_->get(
-        target, timing_.hold + timing_.late,
+        target, kHold + kLate,
         [this, call = watch_.get()](Call::Answer answer) {
             finished(*call, std::move(answer.body), std::move(answer.why));
         },
@@ -185,7 +178,7 @@
 // nothing. Where that one is late too, it takes the place of the first.
 void Discovery::overdue(const Call& call) {
     if (&call != watch_.get()) return;
-    told_by(call.since() + span(std::max(kTold, timing_.hold + kToldPastHold)));
+    told_by(call.since() + span(kTold));
     drop(late_);
     late_ = std::exchange(watch_, nullptr);
     failed("no answer in time", true);
@@ -268,11 +261,11 @@
     if (!std::exchange(told_, true)) log(spdlog::level::warn, "discovery.failed", {{"why", why}});
     if (!persistent_ || !again) {
         std::optional<Millis> within;
-        if (told_at_) within = std::chrono::duration<Millis, std::milli>(*told_at_ - Steady::now()).count();
+        if (told_at_) within = millis(*told_at_ - Steady::now());
         return callbacks_.failed(within);
     }
     timer_.expires_after(span(backoff_));
-    backoff_ = std::min(2 * backoff_, timing_.longest_backoff);
+    backoff_ = std::min(2 * backoff_, longest_backoff_);
     timer_.async_wait([this](error_code cancelled) {
         if (!cancelled && active_) watch(true);
     });
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -21,18 +21,10 @@
         // have missed counts as told, below 0 once it does; none: the watch did not fall silent.
         std::function<void(std::optional<Millis> told_within)> failed;
     };
-    // Of a watch; its figures are derived in discovery.cpp.
-    struct Timing {
-        Millis hold;             // asked for; an unbroken watch shows that often that it is one
-        Millis late;             // past the hold: it may have fallen silent
-        Millis longest_backoff;  // between tries of a persistent one
-    };
-    // `drain_grace` (rules.stop-sending-within-ms): for so long sends may go on after a drain was told.
-    static Timing timing(Millis drain_grace);
-
     // `persistent`: a watch that fails is begun again by itself; else whoever wants it asks for it anew.
+    // `drain_grace` (rules.stop-sending-within-ms): for so long sends may go on after a drain was told.
     Discovery(boost::asio::io_context& io, const Tcp::endpoint& address, std::uint64_t version,
-              bool persistent, Timing timing, Callbacks callbacks);
+              bool persistent, Millis drain_grace, Callbacks callbacks);
     ~Discovery();
 
     void watch(bool active);  // one that is out goes on
@@ -62,7 +54,7 @@
     Tcp::endpoint address_;
     std::uint64_t version_;
     bool persistent_;
-    Timing timing_;
+    Millis longest_backoff_;  // between tries of a persistent watch
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;  // of the next try
     // `late_`: a watch that may have fallen silent, or be slow: kept until one of the two is answered.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -916,9 +916,15 @@
     rig.settle();
 }
 
-TEST(Lists, OnRequestSubscribesAndComesBackAfterFailuresNotInStep) {
+Settings asking_settings(Millis ask_within) {
     Settings s = make_settings();
     s.list_on_request = true;
+    s.ask_within = ask_within;
+    return s;
+}
+
+TEST(Lists, OnRequestSubscribesAndComesBackAfterFailuresNotInStep) {
+    const Settings s = asking_settings(0);
     std::set<Millis> waits;
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         Rig rig(s, seed);
@@ -941,10 +947,7 @@
 // Rule 3 for a watch that fell silent: as the moment comes near at which what it missed counts as told, the
 // calls come closer, however many have failed before.
 TEST(Lists, CallsComeCloserAsWhatWasMissedIsAboutToCountAsTold) {
-    Settings s = make_settings();
-    s.list_on_request = true;
-    s.ask_within = 10000;
-    Rig rig(s);
+    Rig rig(asking_settings(10000));
     rig.give(Started{});
     for (int i = 0; i < 6; ++i) rig.list(ListKind::failed, {});  // 503: nobody's watch was open yet
     rig.timers.clear();
@@ -968,9 +971,7 @@
 // ---- The rest -------------------------------------------------------------------------------------------
 
 TEST(Lists, AFailedSubscriptionIsRenewedBeforeItsAgeCounts) {
-    Settings s = make_settings();
-    s.list_on_request = true;
-    s.ask_within = 2000;
+    const Settings s = asking_settings(2000);
     Rig rig(s);
     rig.give(Started{});
     for (int i = 0; i < 10; ++i) {
