--- a/src/node/address.hpp
+++ b/src/node/address.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "site.hpp"
+#include "settings/site.hpp"
 
 namespace mothring::node {
 
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -12,7 +12,7 @@
 
 #include "cluster/settings.hpp"
 #include "node/address.hpp"
-#include "site.hpp"
+#include "settings/site.hpp"
 
 namespace mothring::node {
 
--- a/src/settings/site.cpp
+++ b/src/settings/site.cpp
@@ -1,4 +1,4 @@
-#include "site.hpp"
+#include "settings/site.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "site.hpp"
+#include "settings/site.hpp"
 
 namespace mothring::wire {
 
