Right before a first byte: has the client left, does the server leave, is it too late

Cause: what is chosen is written when its connection comes up, and nothing was looked at again. So the window for repeats, the client's leaving (where settings forbid to withdraw) and a drain told meanwhile were missed. Change: one check, made at the choice and once more when the connection is up. A client's end is looked for with RDHUP, since it may stand behind bytes of its next request that are not read. A client that leaves ends what has not begun; what was due with its leaving is no longer run first, as that could send. A Send tells by when to begin. Tests: five with the crossing forced; four seen to fail before, the burst passed before too.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -169,6 +169,8 @@
     RequestId id = 0;
     ServerId server = 0;
     Millis try_until = 0;  // the caller ends the attempt as overdue at this time
+    // Where its first byte can't go out before this, as its connection comes up late, it is not issued.
+    Millis begin_by = 0;
 };
 struct Cancel {
     RequestId id = 0;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -1,6 +1,7 @@
 #include "node/front.hpp"
 
 #include <linux/filter.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -12,7 +13,7 @@
 
 #include "node/clock.hpp"
 #include "node/message.hpp"
-#include "site.hpp"
+#include "settings/site.hpp"
 
 namespace mothring::node {
 
@@ -106,6 +107,11 @@
         socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
         return error == asio::error::would_block || error == asio::error::eof;
     }
+    // Its end has come, be there bytes before it or not: a look at the bytes alone would not see it.
+    bool left() {
+        pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+        return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
     // Idle, with nothing of a request come.
     bool idle() { return phase_ == Phase::idle && buffer_.size() == 0 && quiet(); }
     // How soon it makes room for others where there is none: those that have sent nothing yet, those idle for
@@ -603,6 +609,13 @@
         asio::post(io_, callbacks_.drained);
 }
 
+bool Front::left(RequestId request) {
+    const auto at = held_.find(request);
+    if (at == held_.end() || !at->second->left()) return false;
+    asio::post(io_, [client = at->second] { client->close(); });
+    return true;
+}
+
 void Front::answer(RequestId request, Answer answer) {
     const auto at = held_.find(request);
     if (at == held_.end()) return;
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -47,6 +47,9 @@
           std::shared_ptr<Budget> budget, Callbacks callbacks);
     ~Front();
 
+    // Whether the client of a request that waits for its answer has closed its connection, also where that
+    // stands behind bytes that are not read yet. It is then ended, and told as gone, in a later turn.
+    bool left(RequestId request);
     // The final answer; the first one counts.
     void answer(RequestId request, Answer answer);
     // The same for one whose body is passed on as it comes.
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -286,11 +286,11 @@
     const auto server = servers_.find(send.server);
     const Millis now = clock_.now();
     const Millis until = send.try_until > 0 ? std::min(send.try_until, r.deadline) : r.deadline;
+    const Millis begin_by = send.begin_by > 0 ? std::min(send.begin_by, until) : until;
     r.attempts.push_back({0, send.server, now, true});
     ++r.out;
     if (server != servers_.end()) ++server->second.out;
-    if (r.ended || now >= until || server == servers_.end() || !server->second.listed ||
-        (r.body && !r.body->kept()))
+    if (!may_begin(send.id, send.server, begin_by) || (r.body && !r.body->kept()))
         return ended(send.id, number, Outcome::superseded, {});
 
     const Front::Message& from = *r.message;
@@ -303,6 +303,9 @@
     const Millis waits = r.whole_at > 0 ? until - now : r.time_left;
     to.message.set("Request-Timeout-Ms", decimal(std::max(1.0, std::floor(waits)), "%.0f"));
     if ((to.body = r.body)) r.body->rewind();
+    to.may_begin = [this, id = send.id, server = send.server, begin_by] {
+        return may_begin(id, server, begin_by);
+    };
     r.attempts[number].exchange = upstream_.start(
         send.server, std::move(to),
         [this, id = send.id, number](Outcome outcome, Upstream::Response response) {
@@ -317,6 +320,16 @@
     if (until < kNever) due(until, AttemptLimit{send.id, number});
 }
 
+// Right before a first byte goes out: at the choice, and once more when a connection has come up. Whoever has
+// left by then is not served, a server that leaves gets nothing new, and what comes too late is not issued.
+bool Sidecar::may_begin(RequestId id, ServerId server, Millis begin_by) {
+    const auto request = requests_.find(id);
+    const auto at = servers_.find(server);
+    if (request == requests_.end() || request->second.ended || at == servers_.end()) return false;
+    if (front_->left(id)) return gone(id), false;
+    return at->second.listed && !at->second.leaving && clock_.now() < begin_by;
+}
+
 void Sidecar::carry_out(const Cancel& cancel) {
     const auto request = requests_.find(cancel.id);
     if (request == requests_.end() || cancel.attempt >= request->second.attempts.size()) return;
@@ -412,19 +425,30 @@
 void Sidecar::gone(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.ended) return;
-    run_due();  // what was due by now came first
-    if (const auto still = requests_.find(id); still == requests_.end() || still->second.ended) return;
-    requests_.at(id).ended = true;
+    at->second.ended = true;  // nothing goes out for it from here on, whatever is due
+    const std::size_t attempts = at->second.attempts.size();
+    const bool over = clock_.now() >= at->second.deadline;
+    const auto each_out = [&](auto what) {
+        for (std::uint32_t i = 0; i < attempts; ++i) {
+            const auto still = requests_.find(id);
+            if (still == requests_.end()) return;
+            if (still->second.attempts[i].out) what(still->second, still->second.attempts[i], i);
+        }
+    };
+    if (over)  // most clients leave at their deadline: what ran out with it is no withdrawal of theirs
+        each_out([&](const Request&, const Attempt& attempt, std::uint32_t i) {
+            if (attempt.begun == 0) run_out(id, i);
+        });
     give(ClientGone{id});
-    // What can't come to its end without the client is not left to run out.
-    const auto left = requests_.find(id);
-    for (std::uint32_t i = 0; left != requests_.end() && i < left->second.attempts.size(); ++i) {
-        const Attempt& attempt = left->second.attempts[i];
-        if (!attempt.out || (left->second.whole_at > 0 && attempt.begun == 0)) continue;
+    // Settings may forbid to withdraw what has begun. What has not must never begin, and what can't come to
+    // its end without the client is not left to run out.
+    each_out([&](const Request& r, const Attempt& attempt, std::uint32_t i) {
+        const bool begun = upstream_.begun(attempt.exchange);
+        if (begun && r.whole_at > 0 && attempt.begun == 0) return;
         upstream_.stop(attempt.exchange);
-        return ended(id, i, Outcome::recalled, {});
-    }
-    forget_request(id);
+        ended(id, i, begun ? Outcome::recalled : Outcome::superseded, {});
+    });
+    if (requests_.contains(id)) forget_request(id);
 }
 
 void Sidecar::ended(RequestId id, std::uint32_t number, Outcome outcome, Upstream::Response response) {
@@ -505,6 +529,7 @@
     for (const Member& m : members.members) {
         const ServerId id = server_id(m.id);
         servers_[id].listed = m.phase != Phase::off;
+        servers_[id].leaving = m.phase != Phase::on;
         if (m.phase != Phase::off) upstream_.set_server(id, m.address, m.started);
         event.servers.push_back({id, config_.site.zone(m.zone), m.cell, m.phase, m.started,
                                  config_.site.kind(m.kind), XXH64(m.id.data(), m.id.size(), 0)});
@@ -551,12 +576,17 @@
         const auto request = requests_.find(limit.request);
         if (request == requests_.end() || !request->second.attempts[limit.attempt].out) continue;
         if (request->second.attempts[limit.attempt].begun > 0) continue;  // it goes on as long as it comes
-        const bool written = upstream_.stop(request->second.attempts[limit.attempt].exchange);
-        ended(limit.request, limit.attempt, written ? Outcome::overdue : Outcome::refused_connection, {});
+        run_out(limit.request, limit.attempt);
     }
     arm();
 }
 
+// An attempt's time.
+void Sidecar::run_out(RequestId id, std::uint32_t attempt) {
+    const bool written = upstream_.stop(requests_.at(id).attempts[attempt].exchange);
+    ended(id, attempt, written ? Outcome::overdue : Outcome::refused_connection, {});
+}
+
 void Sidecar::arm() {
     if (due_.empty()) return;
     timer_.expires_at(clock_.when(due_.top().at));
--- a/src/node/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -74,7 +74,7 @@
     struct Server {
         std::string name;
         std::size_t out = 0;
-        bool listed = false;
+        bool listed = false, leaving = false;
     };
     // Kept from when a request is taken until its answer has gone out, or can't.
     struct Flight {
@@ -106,6 +106,8 @@
 
     void arrived(Front::Arrival arrival);
     void gone(RequestId id);
+    bool may_begin(RequestId id, ServerId server, Millis begin_by);
+    void run_out(RequestId id, std::uint32_t attempt);
     void whole(RequestId id);
     void begun(RequestId id, std::uint32_t attempt, Front::Head head, std::shared_ptr<Pipe> body);
     void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -77,7 +77,10 @@
             self->socket_.non_blocking(true, ignored);
             self->socket_.set_option(Tcp::no_delay(true), ignored);
             self->wait_readable();
-            self->write();
+            // Much may have come between the choice and now.
+            const auto request = self->exchange_->request;
+            if (!request->may_begin || request->may_begin()) return self->write();
+            if (self->exchange_) self->end(true, Outcome::superseded, {});
         });
     }
 
@@ -105,6 +108,7 @@
     }
     std::chrono::steady_clock::time_point idle_since() const { return since_; }
 
+    bool begun() const { return begun_; }
     // Whether the request may have been written whole.
     bool stop() {
         const bool written = (writing_ && last_) || written_;
@@ -157,7 +161,7 @@
     // ---- The request ----
 
     void write() {
-        writing_ = true;
+        writing_ = begun_ = true;
         written_ = last_ = false;
         const auto request = exchange_->request;
         auto& message = request->message;
@@ -402,6 +406,7 @@
         Exchange exchange = std::move(*exchange_);
         exchange_.reset();
         buffer_.shrink_to_fit();
+        begun_ = false;
         if (keep)
             owner->reuse(self);
         else
@@ -422,7 +427,7 @@
     std::shared_ptr<Pipe> pipe_;  // of the answer's body
     std::optional<Exchange> exchange_;
     std::chrono::steady_clock::time_point since_;
-    bool connected_ = false, waiting_ = false, streaming_ = false;
+    bool connected_ = false, waiting_ = false, streaming_ = false, begun_ = false;
     bool writing_ = false, last_ = false, written_ = false, broken_ = false;  // the request
 };
 
@@ -512,6 +517,11 @@
     return connection->stop();
 }
 
+bool Upstream::begun(ExchangeId id) const {
+    const auto at = exchanges_.find(id);
+    return at != exchanges_.end() && at->second->begun();
+}
+
 void Upstream::ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response) {
     exchanges_.erase(exchange);
     done(outcome, std::move(response));
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -24,6 +24,9 @@
         boost::beast::http::request<boost::beast::http::span_body<const char>> message;  // its head
         std::shared_ptr<Pipe> body;  // none: it has none; else from its start, and perhaps yet to come
         bool attempt = true;         // not a probe
+        // Asked when its connection has come up, right before its first byte; false: it is not issued after
+        // all. None: it always is.
+        std::function<bool()> may_begin = nullptr;
     };
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
     using Head = boost::beast::http::response<boost::beast::http::empty_body>;
@@ -51,6 +54,8 @@
     ExchangeId start(ServerId server, Request request, Done done, Begun begun = nullptr);
     // Stops waiting; Done is not called any more. False: the request was provably never written whole.
     bool stop(ExchangeId exchange);
+    // Whether its first byte may have gone out.
+    bool begun(ExchangeId exchange) const;
 
     struct Stats {
         std::size_t open = 0, opened = 0;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -562,8 +562,12 @@
         if (!s.in_use) used.push_back(&s);
         s.in_use = true;
         outstanding += !cold;
+        // A repeat that its servers are to drop has to reach them while they remember the key: its connection
+        // may come up later than it is chosen.
+        const Attempt* const first = r.kind.effect == Effect::by_key ? r.first_possible_run() : nullptr;
+        const Millis begin_by = first ? first->sent_at + r.kind.dedup_window : r.deadline;
         r.attempts.push_back({s.info, now, true, true, trial, cold});
-        act(Send{r.id, s.info.id, r.deadline});
+        act(Send{r.id, s.info.id, r.deadline, std::min(begin_by, r.deadline)});
     }
 
     void on(const BodyWhole& e) {
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,184 @@
+// Where two things meet between two lines of the program, in the order that the test forces: a peer holds a
+// byte, a close or a connection until an event, then lets go.
+#include "net_rig.hpp"
+
+namespace mothring::node::test {
+namespace {
+
+std::string replaced(std::string text, const std::string& what, const std::string& by) {
+    const auto at = text.find(what);
+    EXPECT_NE(at, std::string::npos) << what;
+    return text.replace(at, what.size(), by);
+}
+
+// A server whose connections do not come up until it lets go: its queue is full, so that the kernel drops
+// what asks for one, which then asks again.
+class HeldServer {
+public:
+    explicit HeldServer(asio::io_context& io) : acceptor_(io, Tcp::v4()) {
+        acceptor_.bind(any_port);
+        acceptor_.listen(0);
+        acceptor_.non_blocking(true);
+        for (int i = 0; i < 4; ++i) {  // one more than it holds, and those that wait for room in vain
+            filling_.emplace_back(io, Tcp::v4());
+            filling_.back().async_connect(acceptor_.local_endpoint(), [](error_code) {});
+        }
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+    // Its queue is emptied, and whoever comes from now on is taken and read from.
+    void let_go() {
+        for (Tcp::socket& s : filling_) ports_.push_back(port_of(s));
+        accept();
+    }
+    // What came on connections that are not its own.
+    std::string in;
+    std::size_t came = 0, ended = 0;
+
+private:
+    static std::uint16_t port_of(const Tcp::socket& socket) {
+        error_code none;
+        return socket.local_endpoint(none).port();
+    }
+    void accept() {
+        acceptor_.async_accept([this](error_code failed, Tcp::socket socket) {
+            if (failed) return;
+            error_code gone;
+            const auto from = socket.remote_endpoint(gone).port();
+            if (std::find(ports_.begin(), ports_.end(), from) == ports_.end()) {
+                ++came;
+                taken_.emplace_back(std::move(socket));
+                read(taken_.back());
+            }
+            accept();
+        });
+    }
+    void read(Tcp::socket& socket) {
+        socket.async_read_some(asio::buffer(piece_), [this, &socket](error_code failed, std::size_t count) {
+            if (failed == asio::error::operation_aborted) return;
+            if (failed) return void(++ended);
+            in.append(piece_.data(), count);
+            error_code ignored;
+            asio::write(socket, asio::buffer(response("200 OK", "held")), ignored);
+            read(socket);
+        });
+    }
+    Tcp::acceptor acceptor_;
+    std::list<Tcp::socket> filling_, taken_;
+    std::vector<std::uint16_t> ports_;
+    std::array<char, 4096> piece_{};
+};
+
+struct Crossing : NetRig {
+    // Connections may come up late; whether attempts that have begun may be withdrawn is the test's.
+    void start_patient(const std::vector<Listed>& known, bool may_cancel = false, int window = 3000) {
+        std::string text = config_json(agent.address(), list_json(41, true, known));
+        text = replaced(text, "\"connect-timeout-ms\":150.0", "\"connect-timeout-ms\":5000.0");
+        if (!may_cancel) text = replaced(text, "\"may-cancel\":true", "\"may-cancel\":false");
+        text = replaced(text, "\"dedup-window-ms\":3000.0", "\"dedup-window-ms\":" + std::to_string(window));
+        sidecar.emplace(io, read_config(text));
+    }
+    bool nothing_out() const { return sidecar->metrics().in_flight == 0; }
+};
+
+// Settings may forbid to withdraw an attempt. One that has not begun must not begin after its client has
+// left.
+TEST_F(Crossing, NothingIsSentOnAConnectionThatComesUpAfterItsClientHasLeft) {
+    HeldServer held(io);
+    start_patient({{"s-held", held.address()}});
+    TestClient& c = client();
+    c.send(request("deposit", "id-left"));
+    until([&] { return sidecar->records() == 1; });
+    c.close();
+    until([&] { return nothing_out(); });
+    held.let_go();
+    EXPECT_EQ(ask(request("deposit", "id-stays")).body(), "held");
+    EXPECT_EQ(held.in.find("id-left"), std::string::npos) << held.in;
+    EXPECT_EQ(sidecar->records(), 0u);
+    EXPECT_EQ(sidecar->held().requests, 0u);
+}
+
+// The list is looked at once more when the connection is up.
+TEST_F(Crossing, NothingIsSentOnAConnectionThatComesUpAfterItsServersDrainWasTold) {
+    HeldServer held(io);
+    start_patient({{"s-held", held.address()}});
+    until([&] { return watched_from("41"); });
+    TestClient& c = client();
+    c.send(request("deposit", "id-1"));
+    until([&] { return sidecar->records() == 1; });
+    tell(list_json(42, false, {{"s-held", held.address(), "Terminating"}, {"s-b", b.address()}}));
+    until([&] { return watched_from("42"); });
+    held.let_go();
+    until([&] { return c.answers.size() == 1; });
+    EXPECT_EQ(c.answers[0].body(), "served");
+    EXPECT_EQ(b.requests.size(), 1u);
+    EXPECT_EQ(held.came, 1u);
+    EXPECT_EQ(held.in, "");
+}
+
+// A repeat that servers are to drop has to reach them while they remember the key.
+TEST_F(Crossing, NoRepeatIsSentOnAConnectionThatComesUpAfterTheWindow) {
+    HeldServer held(io);
+    a.script = silence;
+    start_patient({{"s-a", a.address()}}, false, 700);  // the kernel asks for a connection again after 1 s
+    until([&] { return watched_from("41"); });
+    TestClient& c = client();
+    c.send(request("annotate", "id-1"));
+    until([&] { return a.requests.size() == 1; });
+    tell(list_json(42, false, {{"s-held", held.address()}}));
+    until([&] { return watched_from("42"); });
+    a.close();  // it may have run; the other server is chosen for the repeat, within the window
+    for (int i = 0; i < 2; ++i) ask("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    held.let_go();
+    until([&] { return c.answers.size() == 1 || c.ended; });
+    ASSERT_EQ(c.answers.size(), 1u);
+    EXPECT_GE(c.answers[0].result_int(), 500u);
+    EXPECT_EQ(held.came, 1u) << "it came up, after the window";
+    EXPECT_EQ(held.in, "");
+}
+
+// A client's end stands behind bytes of its next request, which are not read while the first waits.
+TEST_F(Crossing, AClientsEndBehindAnEarlyRequestIsSeenBeforeAnotherAttempt) {
+    for (const std::size_t early :
+         {std::size_t(1), std::size_t(40000)}) {  // in our buffer, or in the kernel's
+        a.requests.clear(), b.requests.clear();
+        sidecar.reset();
+        start_patient({{"s-a", a.address()}, {"s-b", b.address()}}, true);
+        a.script = b.script = silence;
+        TestClient& c = client();
+        c.send(request("listen", "id-1") + std::string(early, 'G'));
+        until([&] { return arrived() == 1; });
+        c.close();
+        ScriptedServer& first = a.requests.empty() ? b : a;
+        a.script = b.script = serve;
+        first.send(first.connections.size() - 1, response("503 Full", "", "Not-Started: 1\r\n"));
+        until([&] { return nothing_out(); });
+        EXPECT_EQ(arrived(), 1u) << early;
+        EXPECT_EQ(sidecar->records(), 0u);
+        EXPECT_EQ(sidecar->held().requests, 0u);
+    }
+}
+
+// In the very turn in which its answer comes, and many at once: nothing is left behind.
+TEST_F(Crossing, ABurstOfClientsLeavesAsTheAnswersCome) {
+    for (const bool reset : {false, true}) {
+        sidecar.reset();
+        a.connections.clear(), a.requests.clear();
+        start_patient({{"s-a", a.address()}}, true);
+        a.script = silence;
+        std::vector<TestClient*> all;
+        for (int i = 0; i < 100; ++i) {
+            all.push_back(&client());
+            all.back()->send(request("listen", "id-" + std::to_string(i)));
+        }
+        until([&] { return a.requests.size() == 100; });
+        for (std::size_t i = 0; i < a.connections.size(); ++i) a.send(i, response("200 OK", "late"));
+        for (TestClient* c : all) reset ? c->reset() : c->close();
+        until([&] { return sidecar->records() == 0 && nothing_out(); });
+        EXPECT_EQ(sidecar->held().requests, 0u);
+        a.script = serve;
+        EXPECT_EQ(ask(request("listen", "id-last")).body(), "served");
+    }
+}
+
+}  // namespace
+}  // namespace mothring::node::test
