One bound for every failed call to discovery: told within 6 s of its being reachable

Need: whatever failed before, a change counts as told 6 s after discovery had it and could be reached. Only a silent watch told the policy of that moment; after a refused, reset or broken call it waited 1, 2, 4, 8 s times 0.5 to 1.5: up to 12 s. Change: every failure tells when what was missed counts as told; a refused one begins that time anew. The wait is a sixteenth of it, 0.15 to 1 s times 0.5 to 1.5. With a call that hangs for 2 s and 2 s for the next one's turn that is 5.5 s. Tests: calls that were refused, reset, ended, answered 503, garbled, half a list, hung; each then with a drain waiting. Refused and failed of any kind seen to fail before (waited in vain for 10 s); hung, silent twice, and a SIGHUP in the midst of a call, beside a late one, in backoff and twice in a row passed before too: ruled out.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -102,7 +102,7 @@
     ListKind kind = ListKind::full;
     std::vector<ServerInfo> servers{};
     // failed: after this what the list held has missed counts as told (below 0: it does), so that a drain
-    // nobody heard of has to be known by then; none: ask_within holds.
+    // nobody heard of has to be known by then; none: not known.
     std::optional<Millis> told_within{};
 };
 struct RequestArrived {
@@ -162,8 +162,8 @@
                            TimerFired, ProbeEnded, PeerMessage, Doubled, BodyWhole, BodySpent, MemberView>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
-// A caller must be able to carry out all of them; the present decisions use no Probe, CloseIdle, TellPeer and
-// FetchList, as none has paid so far.
+// A caller must be able to carry out all of them; the present decisions use no Probe, CloseIdle and TellPeer,
+// as none has paid so far.
 
 struct Send {
     RequestId id = 0;
@@ -200,13 +200,12 @@
 struct Subscribe {
     bool active = true;
 };
-struct FetchList {};
 struct Log {
     std::string text{};
     std::optional<ServerId> server{};  // whom it is about
 };
 using Action = std::variant<Send, Cancel, Refuse, GiveUp, SetTimer, Probe, CloseIdle, TellPeer, Subscribe,
-                            FetchList, Log>;
+                            Log>;
 
 // ---- The balancer ---------------------------------------------------------------------------------------
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -22,13 +22,14 @@
 // later (PROTOCOL, "Figures"). It may have done so right after its call, so with a hold of up to 4 s the list
 // has to be here anew 6 s after the call: 1.5 s of hold, 0.5 s for its answer to be late by, and 4 s left for
 // a whole fleet's calls, should all fall silent at once, as discovery handles new watches in turn. With a
-// hold of 4 s or more 1.5 s would be left.
+// hold of 4 s or more 1.5 s would be left. The same 6 s hold after a call that failed in any other way, from
+// when discovery can be reached: one that hung takes the 2 s, the next may begin up to 1.5 s later (the
+// policy's longest wait), and has 2 s for its turn.
 constexpr Millis kTold = 6000, kToldPastHold = 2000;
 constexpr Millis kHold = 1500, kLate = 500;
 static_assert(kHold + kToldPastHold <= kTold);
 // After SIGHUP what discovery reports counts as told 4 s after the signal (TERMS, "Reconfiguration").
 constexpr Millis kToldAfterMove = 4000;
-constexpr Millis kPatience = 1500;  // for a call that holds for nothing
 constexpr Millis kFirstBackoff = 25, kLongestBackoff = 400;
 constexpr std::size_t kListLimit = 8 * 1024 * 1024;
 
@@ -39,11 +40,6 @@
 public:
     Call(asio::io_context& io, const Tcp::endpoint& address) : address_(address), socket_(io), timer_(io) {}
 
-    // What came of it: the body of a 200, or else why there is none.
-    struct Answer {
-        std::optional<std::string> body;
-        std::string why;
-    };
     using Done = std::function<void(Answer answer)>;
     // `late`: called once if there is no answer by then; the call stays out.
     void get(const std::string& target, Millis patience, Done done, std::function<void()> late) {
@@ -59,7 +55,7 @@
         });
         if (socket_.is_open()) return write();
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
-            if (failed) return self->end("not connected: " + failed.message());
+            if (failed) return self->end("not connected: " + failed.message(), true);
             log(spdlog::level::debug, "discovery.connected", {{"after_ms", self->age()}});
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
@@ -97,7 +93,7 @@
         timer_.cancel();
     }
     // `why`: empty where there is an answer.
-    void end(std::string why) {
+    void end(std::string why, bool refused = false) {
         const Done done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
@@ -107,6 +103,7 @@
         log(spdlog::level::debug, "discovery.ended",
             {{"after_ms", age()}, {"why", why}, {"bytes", answer.body ? answer.body->size() : 0}});
         answer.why = std::move(why);
+        answer.refused = refused;
         done(std::move(answer));
     }
     Millis age() const { return millis(Steady::now() - since_); }
@@ -137,7 +134,6 @@
 Discovery::~Discovery() {
     drop(watch_);
     drop(late_);
-    drop(fetch_);
 }
 
 void Discovery::drop(std::shared_ptr<Call>& call) {
@@ -168,9 +164,7 @@
         target += "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(kHold));
     watch_->get(
         target, kHold + kLate,
-        [this, call = watch_.get()](Call::Answer answer) {
-            finished(*call, std::move(answer.body), std::move(answer.why));
-        },
+        [this, call = watch_.get()](Answer answer) { finished(*call, std::move(answer)); },
         [this, call = watch_.get()] { overdue(*call); });
 }
 
@@ -181,41 +175,25 @@
     told_by(call.since() + span(kTold));
     drop(late_);
     late_ = std::exchange(watch_, nullptr);
-    failed("no answer in time", true);
+    failed("no answer in time");
 }
 
 void Discovery::told_by(Steady::time_point at) { told_at_ = told_at_ ? std::min(*told_at_, at) : at; }
 
-void Discovery::fetch() {
-    if (fetch_ && fetch_->out()) return;
-    ++calls_;
-    fetch_ = std::make_shared<Call>(io_, address_);
-    fetch_->get(
-        "/catalog/members", kPatience,
-        [this, call = fetch_.get()](Call::Answer answer) {
-            finished(*call, std::move(answer.body), std::move(answer.why));
-        },
-        [this] {
-            drop(fetch_);
-            failed("no answer in time", false);
-        });
-}
-
 void Discovery::move(const Tcp::endpoint& address) {
     address_ = address;
     backoff_ = kFirstBackoff;
-    if (active_) {
-        told_by(Steady::now() + span(kToldAfterMove));
-        watch(false);
-        watch(true);
-    }
-    if (!fetch_ || !fetch_->out()) return;
-    drop(fetch_);
-    fetch();
+    if (!active_) return;
+    told_by(Steady::now() + span(kToldAfterMove));
+    watch(false);
+    watch(true);
 }
 
-void Discovery::finished(const Call& call, std::optional<std::string> body, std::string why) {
-    const bool fetched = &call == fetch_.get(), late = &call == late_.get();
+void Discovery::finished(const Call& call, Answer answer) {
+    const auto& [body, said, refused] = answer;
+    const bool late = &call == late_.get();
+    const auto since = call.since();
+    std::string why = said;
     std::optional<MemberList> list;
     try {
         if (body) list = read_members(*body);
@@ -223,14 +201,12 @@
         why = error.what();
     }
     // Older than what is held: that is kept, and the whole list asked for, whatever its version may be.
-    if (list && !fetched && !whole_ && list->version < version_) {
+    if (list && !whole_ && list->version < version_) {
         why = "version " + std::to_string(list->version) + " after " + std::to_string(version_);
         list.reset();
         whole_ = !late;
     }
-    if (fetched) {
-        drop(fetch_);
-    } else if (late && !list) {  // the other goes on
+    if (late && !list) {  // the other goes on
         if (body) log(spdlog::level::warn, "discovery.ignored", {{"why", why}});
         return drop(late_);
     } else if (late) {
@@ -242,28 +218,28 @@
     } else if (body) {
         drop(watch_);
     }
-    if (!list) return failed(why, !fetched);
+    if (!list) {
+        // Whoever is refused knows that discovery can't be reached yet: the time begins after that.
+        if (refused)
+            told_at_ = Steady::now() + span(kTold);
+        else
+            told_by(since + span(kTold));
+        return failed(why);
+    }
     backoff_ = kFirstBackoff;
     told_at_.reset();
     answered_at_ = Steady::now();
     version_ = list->version;
-    if (!fetched) {
-        whole_ = false;
-        if (active_) begin();  // before anything else: the next watch is due
-    }
+    whole_ = false;
+    if (active_) begin();  // before anything else: the next watch is due
     const bool again = std::exchange(told_, false);
     if (again) log(spdlog::level::info, "discovery.answers", {{"version", version_}});
     if (list->full || !list->members.empty() || again) callbacks_.changed(std::move(*list));
 }
 
-// `again`: a watch, which is to be begun anew.
-void Discovery::failed(const std::string& why, bool again) {
+void Discovery::failed(const std::string& why) {
     if (!std::exchange(told_, true)) log(spdlog::level::warn, "discovery.failed", {{"why", why}});
-    if (!persistent_ || !again) {
-        std::optional<Millis> within;
-        if (told_at_) within = millis(*told_at_ - Steady::now());
-        return callbacks_.failed(within);
-    }
+    if (!persistent_) return callbacks_.failed(millis(*told_at_ - Steady::now()));
     timer_.expires_after(span(backoff_));
     backoff_ = std::min(2 * backoff_, longest_backoff_);
     timer_.async_wait([this](error_code cancelled) {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -18,8 +18,8 @@
     struct Callbacks {
         std::function<void(MemberList)> changed;  // also without entries: the first answer after a failure
         // Only where the watch does not go on by itself. The time (ms) after which what the list held may
-        // have missed counts as told, below 0 once it does; none: the watch did not fall silent.
-        std::function<void(std::optional<Millis> told_within)> failed;
+        // have missed counts as told, below 0 once it does.
+        std::function<void(Millis told_within)> failed;
     };
     // `persistent`: a watch that fails is begun again by itself; else whoever wants it asks for it anew.
     // `drain_grace` (rules.stop-sending-within-ms): for so long sends may go on after a drain was told.
@@ -28,7 +28,6 @@
     ~Discovery();
 
     void watch(bool active);  // one that is out goes on
-    void fetch();             // the whole list, once
     // What is out goes on at the new address.
     void move(const Tcp::endpoint& address);
 
@@ -42,12 +41,18 @@
 
 private:
     class Call;
+    // What came of a call: the body of a 200, or else why there is none.
+    struct Answer {
+        std::optional<std::string> body;
+        std::string why;
+        bool refused = false;  // there was nobody to connect to
+    };
     using Steady = std::chrono::steady_clock;
     void begin();
     void overdue(const Call& call);
     void told_by(Steady::time_point at);
-    void finished(const Call& call, std::optional<std::string> body, std::string why);
-    void failed(const std::string& why, bool again);
+    void finished(const Call& call, Answer answer);
+    void failed(const std::string& why);
     static void drop(std::shared_ptr<Call>& call);
 
     boost::asio::io_context& io_;
@@ -58,7 +63,7 @@
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;  // of the next try
     // `late_`: a watch that may have fallen silent, or be slow: kept until one of the two is answered.
-    std::shared_ptr<Call> watch_, late_, fetch_;
+    std::shared_ptr<Call> watch_, late_;
     std::uint64_t calls_ = 0;
     std::optional<Steady::time_point> answered_at_;
     std::optional<Steady::time_point> told_at_;  // when what the list held may have missed counts as told
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -95,7 +95,7 @@
                                                 list(changes.full ? ListKind::full : ListKind::incremental,
                                                      changes);
                                             },
-                                            [this](std::optional<Millis> told_within) {
+                                            [this](Millis told_within) {
                                                 give(ServerList{ListKind::failed, {}, told_within});
                                             }});
     if (config_.may_tell && config_.peer_listen)
@@ -269,7 +269,6 @@
                 if (peers_) peers_->tell(a.to, a.bytes);
             },
             [&](const Subscribe& a) { discovery_->watch(a.active); },
-            [&](const FetchList&) { discovery_->fetch(); },
             [&](const Log& a) {
                 const auto server = servers_.find(a.server.value_or(0));
                 log(spdlog::level::info, "policy.note",
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -57,7 +57,9 @@
 // Where it is known when what was missed counts as told: the part of the time to or since then that is
 // waited, and no less than that, as calls are handled in turn.
 constexpr double kAsks = 16;
-constexpr Millis kSoonest = 150;
+// With its jitter, half as much again, the longest leaves 4.5 s of the 6 s after which a change counts as
+// told: 2 s for a call that hangs, 2 s for the next one's turn.
+constexpr Millis kSoonest = 150, kSeldomest = 1000;
 
 }  // namespace
 
@@ -186,10 +188,11 @@
             // The list is one service for all: come back later and not in step with the others, but in time:
             // who has not asked for ask_within counts as told of every drain (rule 3). Where that moment is
             // known, the more often the nearer it is: whoever has most time left leaves the others their
-            // turn.
+            // turn. But never so seldom that what comes next counts as told before a call.
             const Millis most = settings.ask_within > 0 ? settings.ask_within : kResubscribe * 8;
-            const Millis left = list.told_within ? std::abs(*list.told_within) / kAsks : kNever;
-            const Millis wait = std::min(resubscribe, std::max(left, kSoonest));
+            const Millis wait = list.told_within
+                                    ? std::clamp(std::abs(*list.told_within) / kAsks, kSoonest, kSeldomest)
+                                    : resubscribe;
             set_timer(now + std::min(wait * (0.5 + random.unit()), most), std::nullopt);
             resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
             return;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -371,7 +371,6 @@
                               head("SUBSCRIBE");
                               reply_ += a.active ? " active=1" : " active=0";
                           },
-                          [&](const FetchList&) { head("READ_LIST"); },
                           [&](const Log& a) {
                               head("PRINT");
                               reply_ += " words=";
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -963,6 +963,8 @@
     for (; rig.now < told; ++calls) rig.now += wait(told - rig.now);
     EXPECT_GE(calls, 10);
     EXPECT_LE(calls, 60) << "a fleet's calls are handled in turn";
+    // However long it has been: the next change's time begins anew once discovery can be reached.
+    for (const Millis late : {-5000.0, -60000.0, -3600000.0}) EXPECT_LE(wait(late), 1500);
     // An answer without entries ends the failures before it.
     rig.list(ListKind::incremental, {});
     EXPECT_LE(wait({}), 1500);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -180,5 +180,120 @@
     }
 }
 
+// ---- Discovery ----
+
+struct Asking : Crossing {
+    using Steady = std::chrono::steady_clock;
+    std::uint64_t calls() const { return sidecar->metrics().list.calls; }
+    void start_asking() {
+        const std::string text = config_json(agent.address(), list_json(41, true, {{"s-a", a.address()}}));
+        sidecar.emplace(io, read_config(replaced(text, "\"pushed\"", "\"on_request\"")));
+    }
+    // The longest from one call to the next, over as many.
+    Steady::duration longest_gap(std::uint64_t most) {
+        Steady::duration longest{};
+        for (std::uint64_t seen = calls(); seen < most; seen = calls()) {
+            const auto began = Steady::now();
+            until([&] { return calls() > seen; });
+            if (HasFailure()) break;
+            longest = std::max(longest, Steady::now() - began);
+        }
+        return longest;
+    }
+    // Discovery can be reached again, and a server has been leaving for some time.
+    void expect_drain_told(ScriptedServer& discovery, Steady::duration within) {
+        const auto reachable = Steady::now();
+        bool told = false;
+        discovery.script = [&](const auto&) {
+            if (std::exchange(told, true)) return Reply{};
+            return Reply{response(
+                "200 OK", list_json(42, true, {{"s-a", a.address(), "Terminating"}, {"s-b", b.address()}}))};
+        };
+        until([&] { return sidecar->metrics().list.version == 42; });
+        EXPECT_LE(Steady::now() - reachable, within);
+        EXPECT_EQ(ask(request("listen", "id-1")).result_int(), 200u);
+        EXPECT_EQ(a.requests.size(), 0u);
+    }
+};
+
+// Whatever failed before: a change counts as told 6 s after discovery had it and could be reached. A call may
+// begin right before that, hang for 2 s, be followed after 1.5 s at most, and the next needs its turn.
+TEST_F(Asking, ADrainIsKnownInTimeAfterFailuresOfAnyKind) {
+    for (const Reply& reply :
+         {Reply{response("503 Busy")}, Reply{"", false, true}, Reply{"", true}, Reply{"HTTP/1.1 200 O", true},
+          Reply{response("200 OK", "{\"version\":99,\"full\":true,\"servers\":[{\"id\":")}}) {
+        sidecar.reset();
+        agent.script = [&](const auto&) { return reply; };
+        start_asking();
+        EXPECT_LE(longest_gap(6), std::chrono::milliseconds(1600)) << reply.bytes;
+        expect_drain_told(agent, std::chrono::milliseconds(1600));
+    }
+}
+TEST_F(Asking, ADrainIsKnownInTimeAfterCallsThatWereRefused) {
+    agent.close();
+    start_asking();
+    EXPECT_LE(longest_gap(6), std::chrono::milliseconds(1600));
+    ScriptedServer back(io, silence, agent.endpoint());
+    expect_drain_told(back, std::chrono::milliseconds(1600));
+}
+TEST_F(Asking, ADrainIsKnownInTimeAfterCallsThatHung) {
+    start_asking();
+    EXPECT_LE(longest_gap(3), std::chrono::milliseconds(3600));
+    expect_drain_told(agent, std::chrono::milliseconds(3600));
+}
+
+// Silent once more right after it was begun anew: the next call comes in time still.
+TEST_F(Asking, AWatchSilentTwiceIsBegunAThirdTimeInTime) {
+    start_asking();
+    until([&] { return calls() == 1; });
+    const auto silent = Steady::now();
+    until([&] { return calls() == 3; });
+    EXPECT_LE(Steady::now() - silent, std::chrono::milliseconds(5000));
+    expect_drain_told(agent, std::chrono::milliseconds(3600));
+}
+
+// SIGHUP while a call is out, while one that is late has another beside it, and while the next is waited for;
+// two in a row. The old address answers after the new one was asked, with a version of its own that is
+// higher.
+TEST_F(Asking, AMoveInTheMidstOfACallLeavesTheOldAddressUnheard) {
+    const std::string wrong = response("200 OK", list_json(99, true, {{"s-a", a.address(), "Terminating"}}));
+    for (const int calls_before : {1, 2}) {
+        sidecar.reset();
+        ScriptedServer old(io, silence), between(io, silence), moved(io, silence);
+        const auto config = [&](const ScriptedServer& at) {
+            return read_config(
+                replaced(config_json(at.address(), list_json(41, true, {{"s-a", a.address()}})), "\"pushed\"",
+                         "\"on_request\""));
+        };
+        sidecar.emplace(io, config(old));
+        until([&] { return old.requests.size() == static_cast<std::size_t>(calls_before); });
+        sidecar->reconfigure(config(between));
+        sidecar->reconfigure(config(moved));
+        for (std::size_t i = 0; i < old.connections.size(); ++i) {
+            error_code ended;
+            asio::write(old.connections[i]->socket, asio::buffer(wrong), ended);
+        }
+        until([&] { return moved.requests.size() == 1; });
+        EXPECT_NE(moved.requests[0].target().find("from=41&"), boost::beast::string_view::npos);
+        EXPECT_EQ(ask(request("listen", "id-" + std::to_string(calls_before))).result_int(), 200u);
+        EXPECT_EQ(sidecar->metrics().list.version, 41u);
+        moved.send(0, response("200 OK", list_json(42, false, {})));
+        until([&] { return moved.requests.size() == 2; });
+        EXPECT_EQ(sidecar->metrics().list.version, 42u);
+    }
+}
+TEST_F(Asking, AMoveWhileTheNextCallIsWaitedForAsksTheNewAddressAtOnce) {
+    agent.script = [](const auto&) { return Reply{response("503 Busy")}; };
+    start_asking();
+    until([&] { return agent.requests.size() == 1 && sidecar->metrics().list.failing; });
+    ScriptedServer moved(io, silence);
+    sidecar->reconfigure(read_config(
+        replaced(config_json(moved.address(), list_json(41, true, {})), "\"pushed\"", "\"on_request\"")));
+    until([&] { return moved.requests.size() == 1; });
+    for (int i = 0; i < 3; ++i) ask("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    EXPECT_EQ(agent.requests.size(), 1u);
+    expect_drain_told(moved, std::chrono::milliseconds(3600));
+}
+
 }  // namespace
 }  // namespace mothring::node::test
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -59,7 +59,8 @@
         bool ended = false;  // by the other side
     };
 
-    ScriptedServer(asio::io_context& io, Script script) : script(std::move(script)), acceptor_(io, any_port) {
+    ScriptedServer(asio::io_context& io, Script script, const Tcp::endpoint& at = any_port)
+        : script(std::move(script)), acceptor_(io, at) {
         accept();
     }
     ~ScriptedServer() { close(); }
@@ -131,6 +132,10 @@
     ~TestClient() { state_->live = false; }  // what is queued for it by then comes to nothing
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
     void close() { socket_.close(); }
+    void reset() {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
 
     std::vector<Answer> answers;
     bool ended = false;
