Signals are caught before anything listens

The test holds the process in its first log line, to a full pipe, with the listener open, and sends SIGHUP and SIGTERM twice: ended by a signal before, exit 0 after. With that a second SIGTERM, and one before any list, are covered too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,12 +35,12 @@
         node::Config config = node::effective_config(options);
         node::log_start(config.name, options.log_level);
         boost::asio::io_context io(1);
+        // Before anything listens: from then on a signal may come, and its default action would end all.
+        boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
         node::Sidecar sidecar(io, std::move(config));
-        boost::asio::signal_set signals(io, SIGTERM, SIGINT);
         signals.async_wait([&](boost::system::error_code failed, int) {
             if (!failed) sidecar.drain([&] { io.stop(); });
         });
-        boost::asio::signal_set reload(io, SIGHUP);
         std::function<void()> await_reload = [&] {
             reload.async_wait([&](boost::system::error_code failed, int) {
                 if (failed) return;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,4 +1,5 @@
 // The configuration, and the program as the platform starts and ends it.
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -332,6 +333,51 @@
     EXPECT_EQ(status_of(child), 0);
 }
 
+// It listens, and writes its first line to nobody who reads: there it stands until the test has sent its
+// signals.
+TEST_F(Program, ASignalRightAfterItListensIsNotItsEnd) {
+    asio::io_context io;
+    ScriptedServer agent(io, [](const auto&) { return Reply{}; });
+    const Tcp::endpoint listen = Tcp::acceptor(io, any_port).local_endpoint();
+    std::ofstream(folder / "config.json") << config_json(agent.address(), list_json(1, true, {}), "1024",
+                                                         "127.0.0.1:" + std::to_string(listen.port()));
+    std::array<int, 2> lines{};
+    ASSERT_EQ(::pipe2(lines.data(), O_NONBLOCK), 0);
+    while (::write(lines[1], "x", 1) == 1) {
+    }
+    ::fcntl(lines[1], F_SETFL, 0);
+    const pid_t child = ::fork();
+    if (child == 0) {
+        ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+        ::setenv("TMPDIR", folder.c_str(), 1);
+        ::dup2(lines[1], 2);
+        for (int file = 3; file < 1024; ++file) ::close(file);
+        ::execl(MOTHRING_BIN, MOTHRING_BIN, static_cast<char*>(nullptr));
+        ::_exit(127);
+    }
+    ::close(lines[1]);
+    Tcp::socket client(io);
+    run_until(io, [&] {
+        error_code failed;
+        client.close(failed);
+        client.connect(listen, failed);
+        return !failed;
+    });
+    ::kill(child, SIGHUP);
+    ::kill(child, SIGTERM);
+    ::kill(child, SIGTERM);
+    std::array<char, 65536> piece{};
+    int status = 0;
+    run_until(io, [&] {
+        while (::read(lines[0], piece.data(), piece.size()) > 0) {
+        }
+        return ::waitpid(child, &status, WNOHANG) == child;
+    });
+    ::close(lines[0]);
+    EXPECT_TRUE(WIFEXITED(status)) << "ended by signal " << WTERMSIG(status);
+    EXPECT_EQ(WEXITSTATUS(status), 0);
+}
+
 TEST_F(Program, FollowsDiscoveryOnSighupAndSurvivesARubbishFile) {
     asio::io_context io;
     ScriptedServer first(io, [](const auto&) { return Reply{}; }), second(io, first.script);
