A drain and a want of room end connections in order; what still comes is answered before SIGKILL

Confirmed: a request that crosses the close of a resting client was reset (now FIN first; what is read after it is not sent on; near the bound one part in 16 is kept for those on their way out); the last call came 3.5 s after SIGTERM whatever the deadlines, so with short ones a late request, a half head and a half body had no answer when SIGKILL may come (now the longest give-up-ms, at most 3 s, and 0.7 s, less 0.1 s: late requests have that much time, and 0.3 s sooner who never sent a whole one is told so); connections in the kernel's queue were reset when there was no descriptor to take them with as the listener closed (now it stays until they are taken). Ruled out: a request whole in the very turn of the last call, bodies half read and half passed on at SIGTERM. The scripted client closes when it sees the end, as clients do.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -1,5 +1,6 @@
 #include "node/config.hpp"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -120,6 +121,11 @@
         config.connect_timeout = fields.number_or("limits.connect-timeout-ms", config.connect_timeout);
         config.idle_close = fields.number_or("limits.idle-close-ms", config.idle_close);
         config.drain_grace = fields.number_or("rules.stop-sending-within-ms", config.drain_grace);
+        Millis longest = 0;
+        for (std::size_t i = 0; i < config.site.classes.size(); ++i)
+            longest = std::max(longest, fields.number_or("classes." + std::to_string(i) + ".give-up-ms", 0));
+        // Counted as 3 s where it is longer (PROTOCOL, "Figures"), and where it is not given.
+        if (longest > 0) config.longest_deadline = std::min(longest, config.longest_deadline);
         config.may_probe = fields.flag_or("limits.may-probe", false);
         config.may_tell = fields.flag_or("limits.may-tell", false);
     } catch (const FieldError& error) {
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -55,7 +55,8 @@
     // Of the settings, what the sockets need and the module does not.
     Millis connect_timeout = 250;
     Millis idle_close = 15000;
-    Millis drain_grace = 800;  // for so long sends may go on after a drain was told
+    Millis longest_deadline = 3000;  // of any class, as far as a planned restart waits for it
+    Millis drain_grace = 800;        // for so long sends may go on after a drain was told
     bool may_probe = false;
     bool may_tell = false;
     // Classes whose requests with one key go to one server, and what the key is.
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -28,7 +28,9 @@
 constexpr Millis kPause = 700;          // within a larger body
 constexpr double kSlowestPace = 32;     // bytes in a millisecond, of a body
 constexpr Millis kStillReader = 10000;  // an answer of which no more is read is ended
-constexpr Millis kMayClose = 2000;      // clients expect no connection to be kept for longer
+constexpr Millis kLinger = 300, kLongestLinger = 3000;  // for a client's end, after ours
+constexpr Millis kMayClose = 2000;                      // clients expect no connection to be kept for longer
+constexpr std::size_t kSparePart = 16;                  // of the bound on clients, for those on their way out
 constexpr std::size_t kHeadPiece = 2 * 1024, kPiece = 16 * 1024;  // read at a time
 constexpr int kTurns = 8;                                         // before the others have theirs
 
@@ -118,12 +120,36 @@
     // as long as they may expect, those that have stopped within a head, then the other idle ones; never one
     // that is owed an answer.
     static constexpr int kNeeded = 4;
+    bool finishing() const { return phase_ == Phase::finishing; }
     int use() const {
         if (phase_ == Phase::idle) return first_by_ ? 0 : Steady::now() - since_ >= span(kMayClose) ? 1 : 3;
         return phase_ == Phase::head ? 2 : kNeeded;
     }
     Steady::time_point since() const { return since_; }
 
+    // Makes room. One that has been served may not have read all of its last answer, which a reset would take
+    // away; one that has not been is ended at once.
+    void yield() { first_by_ || phase_ != Phase::idle ? close() : finish(kLinger); }
+
+    // At its end, in order: closing over unread bytes would reset the connection and could take the answer
+    // with it. Ours goes first, and what comes after that is not sent on; the client's is awaited for a
+    // while, longer where it goes on sending.
+    void finish(Millis longest) {
+        phase_ = Phase::finishing;
+        error_code ignored;
+        socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+        finish_by_ = Steady::now() + span(longest);
+        close_at(Steady::now() + span(kLinger));
+        discard();
+    }
+
+    void last_call() {
+        if (phase_ == Phase::idle || phase_ == Phase::head || receiving()) feed();
+        if (!owner_ || phase_ == Phase::answering || phase_ == Phase::finishing) return;
+        if (phase_ == Phase::idle) return finish(kLinger);
+        if (id_ == 0 || receiving()) reject(http::status::service_unavailable);
+    }
+
     void answer(Answer answer) {
         phase_ = Phase::answering;
         answer.version(11);
@@ -412,7 +438,7 @@
         leave(*owner_, whole);
         no_limit();
         if (!whole) return close();
-        if (!stays || unread) return finish();
+        if (!stays || unread) return finish(kLongestLinger);
         phase_ = Phase::idle;
         since_ = Steady::now();
         owner_->rested();
@@ -468,16 +494,6 @@
         close();
     }
 
-    // Closing over unread bytes would reset the connection and could take the answer with it: the client's
-    // end is awaited for a while, longer where it goes on sending.
-    void finish() {
-        phase_ = Phase::finishing;
-        error_code ignored;
-        socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        finish_by_ = Steady::now() + span(kLongestLinger);
-        close_at(Steady::now() + span(kLinger));
-        discard();
-    }
     void discard() {
         buffer_.consume(buffer_.size());
         socket_.async_read_some(buffer_.prepare(kHeadPiece),
@@ -498,11 +514,11 @@
         timer_.expires_at(when);
         timer_.async_wait([weak = weak_from_this(), when](error_code cancelled) {
             const auto self = weak.lock();
-            if (!cancelled && self && self->due_ == when) self->close();
+            if (!cancelled && self && self->due_ == when) self->overdue();
         });
     }
-
-    static constexpr Millis kLinger = 300, kLongestLinger = 3000;
+    // Whoever has sent no whole request is ended in order, whoever does not read is not waited for.
+    void overdue() { id_ == 0 && phase_ < Phase::waiting ? finish(kLinger) : close(); }
 
     Front* owner_;  // none: closed
     Tcp::socket socket_;
@@ -581,17 +597,25 @@
     }
 }
 
-// At the bound, the client of least use makes room, of those alike the one that has been so longest; where
-// none may, accepting waits for one.
+// Near the bound the client of least use makes room, of those alike the one that has been so longest. An end
+// in order takes until the client's own, or a while: a part of the bound is for those on their way out. Where
+// nobody may make room, accepting waits.
 bool Front::make_room() {
-    if (clients_.size() < most_clients_) return true;
+    const std::size_t most = most_clients_ - std::min(most_clients_, 1 + most_clients_ / kSparePart);
+    if (clients_.size() < most) return true;
     std::vector<std::pair<std::pair<int, Steady::time_point>, ClientPtr>> order;
+    std::size_t leaving = 0;
     for (const ClientPtr& client : clients_)
-        if (client->use() < Client::kNeeded) order.push_back({{client->use(), client->since()}, client});
+        if (client->finishing())
+            ++leaving;
+        else if (client->use() < Client::kNeeded)
+            order.push_back({{client->use(), client->since()}, client});
     const auto later = [](const auto& a, const auto& b) { return a.first > b.first; };
     std::make_heap(order.begin(), order.end(), later);
-    while (!order.empty() && clients_.size() >= most_clients_) {
-        if (order.front().second->quiet()) order.front().second->close();
+    while (!order.empty() && clients_.size() - leaving >= most) {
+        const ClientPtr client = order.front().second;
+        if (client->quiet()) client->yield();
+        leaving += client->finishing();
         std::pop_heap(order.begin(), order.end(), later);
         order.pop_back();
     }
@@ -633,7 +657,6 @@
 }
 
 void Front::drain(Millis accepting) {
-    if (draining_) return;
     draining_ = true;
     drain_timer_.expires_after(span(accepting));
     drain_timer_.async_wait([this](error_code cancelled) {
@@ -641,18 +664,27 @@
     });
 }
 
-// What the machine has accepted by now is taken; what is idle after that is closed.
+void Front::last_call() {
+    if (acceptor_.is_open()) stop_accepting();
+    for (const ClientPtr& client : std::vector<ClientPtr>(clients_.begin(), clients_.end()))
+        client->last_call();
+}
+
+// What the machine has accepted by now is taken, however long it takes to have a descriptor for it; what is
+// idle after that is ended.
 void Front::stop_accepting() {
-    for (error_code failed; !failed;) {
+    for (error_code failed; failed != asio::error::would_block;) {
         Tcp::socket socket(io_);
         acceptor_.accept(socket, failed);
         if (!failed) accepted(std::move(socket));
+        if (failed && failed != asio::error::would_block && failed != asio::error::connection_aborted)
+            return drain(kAcceptPause);
     }
     error_code ignored;
     acceptor_.close(ignored);
     timer_.cancel();
     for (const ClientPtr& client : std::vector<ClientPtr>(clients_.begin(), clients_.end()))
-        if (client->idle()) client->close();
+        if (client->idle()) client->finish(kLongestLinger);
     if (clients_.empty() && callbacks_.drained) asio::post(io_, callbacks_.drained);
 }
 
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -56,6 +56,10 @@
     void stream(RequestId request, Head head, std::shared_ptr<Pipe> body);
     // Goes on taking requests for that long, closing each connection with its answer, then only finishes.
     void drain(Millis accepting);
+    // Of a drain, when nobody may wait any longer: what has come whole by now is taken still, whoever has not
+    // sent a whole request is told so, and the others are ended.
+    void last_call();
+    std::size_t clients() const { return clients_.size(); }
     Tcp::endpoint address() const { return address_; }
     bool draining() const { return draining_; }
     // Those idle longest make room at once, the others as they end.
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -36,9 +36,11 @@
 constexpr Millis kNever = 1e15;
 constexpr Millis kTwinLook = 50;    // between looks for another process of this sidecar
 constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
-// Of a drain: after this it ends the connections that are still open without a request; while one is not
-// answered it goes on and looks again, as ending would lose it, for as long as anybody may wait for us.
-constexpr Millis kLastCall = 3500, kLook = 50, kLongestDrain = 60000;
+// Of a drain. The longest deadline and 0.7 s after SIGTERM whatever is not answered may be lost (PROTOCOL,
+// "Figures"): what still comes has its answer kReserve sooner, and kLinger before that connections without a
+// request are ended. While one is not answered, as it came before with a longer time, it goes on and looks
+// again.
+constexpr Millis kKillAfter = 700, kReserve = 100, kLinger = 300, kLook = 50, kLongestDrain = 60000;
 
 // Whether the method and the key are those that the protocol gives to a class.
 bool in_form(const RequestClass& kind, const Front::Message& message, bool has_body) {
@@ -206,15 +208,22 @@
     if (cluster_) cluster_->leave();
     if (!front_) return std::exchange(drained_, nullptr)();
     log(spdlog::level::info, "drain.began", {{"requests", flights_.size()}});
+    drain_ends_ = clock_.now() + config_.longest_deadline + kKillAfter - kReserve;
     front_->drain(kAccepting);
-    last_call(kLastCall, kLongestDrain);
+    last_call(std::max(kAccepting, drain_ends_ - kLinger - clock_.now()), kLongestDrain);
+}
+
+// What comes during a drain has no more time than that has.
+Millis Sidecar::within_drain(Millis time_left) const {
+    return drain_ends_ > 0 ? std::clamp(drain_ends_ - clock_.now(), 0.0, time_left) : time_left;
 }
 
 void Sidecar::last_call(Millis in, Millis most) {
     last_call_.expires_after(span(in));
     last_call_.async_wait(unless_over([this, most = most - in] {
         if (!drained_) return;
-        if (!flights_.empty() && most > 0) return last_call(kLook, most);
+        front_->last_call();
+        if (front_->clients() > 0 && most > 0) return last_call(kLook, most);
         if (!flights_.empty()) log(spdlog::level::err, "drain.cut_off", {{"requests", flights_.size()}});
         std::exchange(drained_, nullptr)();
     }));
@@ -365,7 +374,7 @@
     if (!in_form(classes[event.class_index], *arrival.message, arrival.body != nullptr))
         return front_->answer(arrival.id, Front::Answer(http::status::bad_request, 11));
     if (!arrival.tenant.empty()) event.tenant = config_.site.tenant_index(arrival.tenant);
-    event.time_left = arrival.time_left;
+    event.time_left = within_drain(arrival.time_left);
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
     event.unfinished = arrival.body && !arrival.body->whole();
@@ -378,7 +387,7 @@
     request.deadline = kNever;
     if (event.unfinished) return give(event);  // taken, and its time begun, with its last byte
     request.whole_at = clock_.now();
-    request.deadline = request.whole_at + arrival.time_left;
+    request.deadline = request.whole_at + event.time_left;
     flights_[arrival.id].class_index = event.class_index;
     give(event);
 }
@@ -398,6 +407,7 @@
     if (at == requests_.end() || at->second.ended) return;
     Request& r = at->second;
     r.whole_at = clock_.now();
+    r.time_left = within_drain(r.time_left);
     r.deadline = r.whole_at + r.time_left;
     flights_[id].class_index = r.class_index;
     for (std::uint32_t number = 0; number < r.attempts.size(); ++number)
--- a/src/node/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -117,6 +117,7 @@
     std::uint64_t affinity_of(std::string_view class_name, const Front::Message& message) const;
     void watch_twin();
     void last_call(Millis in, Millis most);
+    Millis within_drain(Millis time_left) const;
     std::size_t sockets() const;
     std::size_t buffers() const;
 
@@ -167,6 +168,7 @@
     std::optional<Front> front_;
     boost::asio::steady_timer last_call_;  // of a drain
     std::function<void()> drained_;
+    Millis drain_ends_ = 0;  // none: no drain
     std::shared_ptr<const void> life_ = std::make_shared<const char>();
 };
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,5 +1,8 @@
 // Where two things meet between two lines of the program, in the order that the test forces: a peer holds a
 // byte, a close or a connection until an event, then lets go.
+#include <poll.h>
+#include <sys/resource.h>
+
 #include "net_rig.hpp"
 
 namespace mothring::node::test {
@@ -180,6 +183,170 @@
     }
 }
 
+// ---- Shutdown ----
+
+struct Leaving : Crossing {
+    using Steady = std::chrono::steady_clock;
+    bool done = false;
+    // With no deadline over `longest` ms.
+    void start_short(int longest, const std::string& sockets = "1024") {
+        const std::string text =
+            config_json(agent.address(), list_json(41, true, {{"s-a", a.address()}}), sockets);
+        const std::string deadline = ",\"give-up-ms\":" + std::to_string(longest) + ".0,\"credit\":3.0";
+        sidecar.emplace(io, read_config(replaced(text, ",\"credit\":3.0", deadline)));
+    }
+    void drain() {
+        sidecar->drain([&] { done = true; });
+    }
+    // The connection after its end was seen: what is written into it now.
+    static int error_after_writing(Tcp::socket& socket, const std::string& bytes) {
+        error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        int pending = 0;
+        socklen_t size = sizeof pending;
+        ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size);
+        return error ? error.value() : pending;
+    }
+    // One that has been served and rests.
+    Tcp::socket rested() {
+        Tcp::socket socket(io);
+        socket.connect(sidecar->address());
+        asio::write(socket, asio::buffer(request("listen", "id-" + std::to_string(++rested_))));
+        until([&] { return socket.available() > 0; });
+        return socket;
+    }
+    // Its answer, still unread, then its end.
+    void expect_an_ordered_end(Tcp::socket& socket) {
+        const auto ended = [&] {
+            pollfd look{socket.native_handle(), POLLRDHUP, 0};
+            return ::poll(&look, 1, 0) > 0 && (look.revents & POLLRDHUP) != 0;
+        };
+        ASSERT_NO_FATAL_FAILURE(until(ended));
+        EXPECT_EQ(error_after_writing(socket, request("listen", "id-late")), 0);
+        std::string all(4096, '\0');
+        error_code error;
+        all.resize(asio::read(socket, asio::buffer(all), error));
+        EXPECT_EQ(error, asio::error::eof);
+        EXPECT_NE(all.find("served"), std::string::npos);
+    }
+    int rested_ = 0;
+};
+
+// A request crosses the close of a resting connection: our end goes first and is not a reset, which could
+// take an unread answer along; what is read after it is not sent on.
+TEST_F(Leaving, ARequestThatCrossesADrainsCloseMeetsAnOrderedEnd) {
+    start_short(3000);
+    Tcp::socket resting = rested();
+    drain();
+    expect_an_ordered_end(resting);
+    until([&] { return done; });
+    EXPECT_EQ(a.requests.size(), 1u);
+}
+TEST_F(Leaving, ARequestThatCrossesAClosingForRoomMeetsAnOrderedEnd) {
+    start_short(3000, "28");  // eight for clients and servers
+    Tcp::socket resting = rested();
+    std::list<Tcp::socket> others;
+    for (int i = 0; i < 3; ++i) others.push_back(rested());
+    expect_an_ordered_end(resting);
+    EXPECT_EQ(a.requests.size(), 4u);
+}
+
+// What deadlines settings allow, not 3 s, tells when a process may be killed after SIGTERM: by then what
+// still came has its answer, and what never came whole is told so.
+TEST_F(Leaving, WhatStillComesIsAnsweredBeforeTheProcessMayBeKilled) {
+    start_short(300);
+    a.script = silence;
+    TestClient &head = client(), &body = client(), &late = client(), &resting = client();
+    head.send("GET /listen HTTP/1.1\r\nHo");
+    const std::string deposit = request("deposit", "id-body", 300, "a body");
+    body.send(deposit.substr(0, deposit.size() - 2));
+    const std::string whole = request("listen", "id-late", 5000);
+    late.send(whole.substr(0, whole.size() - 2));
+    ask("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    const auto began = Steady::now();
+    drain();
+    until([&] { return resting.ended; });  // nothing new is accepted from here on
+    late.send(whole.substr(whole.size() - 2));
+    until([&] { return head.ended && body.ended && late.ended; });
+    EXPECT_LE(Steady::now() - began, std::chrono::milliseconds(300 + 700));
+    until([&] { return done; });
+    ASSERT_EQ(head.answers.size(), 1u);
+    EXPECT_EQ(head.answers[0].result_int(), 503u);
+    ASSERT_EQ(body.answers.size(), 1u);
+    EXPECT_EQ(body.answers[0].result_int(), 503u);
+    ASSERT_EQ(late.answers.size(), 1u);
+    EXPECT_EQ(late.answers[0].result_int(), 503u) << "it may be tried anew";
+}
+
+// The last byte of a request is there in the very turn of the last call: the loop stands still until both are
+// due.
+TEST_F(Leaving, ARequestWholeInTheTurnOfTheLastCallIsAnswered) {
+    start_short(300);
+    TestClient& c = client();
+    const std::string whole = request("listen", "id-1", 300);
+    c.send(whole.substr(0, whole.size() - 2));
+    ask("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    TestClient& resting = client();
+    const auto began = Steady::now();
+    drain();
+    until([&] { return resting.ended; });
+    while (Steady::now() < began + std::chrono::milliseconds(700)) {
+    }
+    c.send(whole.substr(whole.size() - 2));
+    until([&] { return done && c.ended; });
+    ASSERT_EQ(c.answers.size(), 1u);
+    EXPECT_EQ(c.answers[0].result_int(), 200u);
+}
+
+// Half read, half passed on, and half come: none is cut off, and the end waits for them.
+TEST_F(Leaving, BodiesOnTheirWayAreFinished) {
+    start_short(3000);
+    a.script = [&](const auto& r) {
+        return r["Request-Id"] == "id-down" ? Reply{"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n1234"}
+                                            : Reply{response("200 OK", "up")};
+    };
+    TestClient &down = client(), &up = client();
+    down.send(request("listen", "id-down"));
+    until([&] { return a.requests.size() == 1; });
+    const std::string deposit = request("deposit", "id-up", 3000, "a body");
+    up.send(deposit.substr(0, deposit.size() - 2));
+    TestClient& resting = client();
+    ask("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    drain();
+    until([&] { return resting.ended; });
+    up.send(deposit.substr(deposit.size() - 2));
+    until([&] { return up.ended; });
+    ASSERT_EQ(up.answers.size(), 1u);
+    EXPECT_EQ(up.answers[0].body(), "up");
+    EXPECT_FALSE(done);
+    a.send(0, std::string(100000 - 4, 'x'));
+    until([&] { return done && !down.answers.empty(); });
+    ASSERT_EQ(down.answers.size(), 1u);
+    EXPECT_EQ(down.answers[0].body().size(), 100000u);
+}
+
+// Connections that wait in the kernel's queue as the listener is to close, with no descriptor to take them
+// with.
+TEST_F(Leaving, WhatWaitsInTheQueueIsTakenBeforeTheListenerCloses) {
+    start_short(3000);
+    Tcp::socket resting = rested();
+    TestClient& queued = client();
+    rlimit old{};
+    getrlimit(RLIMIT_NOFILE, &old);
+    rlimit low = old;
+    low.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &low);
+    queued.send(request("listen", "id-queued"));
+    drain();
+    const auto over = Steady::now() + std::chrono::milliseconds(700);
+    until([&] { return Steady::now() > over; });
+    setrlimit(RLIMIT_NOFILE, &old);
+    until([&] { return queued.ended; });
+    ASSERT_EQ(queued.answers.size(), 1u);
+    EXPECT_EQ(queued.answers[0].result_int(), 200u);
+    until([&] { return done; });
+}
+
 // ---- Discovery ----
 
 struct Asking : Crossing {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -148,6 +148,8 @@
                              if (!s->live || failed == asio::error::operation_aborted) return;
                              if (failed) {
                                  ended = true;
+                                 error_code ignored;
+                                 socket_.close(ignored);  // as clients do
                                  return;
                              }
                              answers.push_back(s->parser->release());
