The part of the clients' bound for those on their way out is none where the bound is small

BesideAnotherProcessItTakesHalf caught it: at a bound of 8 two clients were ended where one slot is kept free.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -601,7 +601,7 @@
 // in order takes until the client's own, or a while: a part of the bound is for those on their way out. Where
 // nobody may make room, accepting waits.
 bool Front::make_room() {
-    const std::size_t most = most_clients_ - std::min(most_clients_, 1 + most_clients_ / kSparePart);
+    const std::size_t most = most_clients_ - most_clients_ / kSparePart;
     if (clients_.size() < most) return true;
     std::vector<std::pair<std::pair<int, Steady::time_point>, ClientPtr>> order;
     std::size_t leaving = 0;
