--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -50,16 +50,17 @@
 struct Settings {
     std::vector<RequestClass> classes;  // at least one
     std::optional<ZoneId> my_zone;
-    std::uint32_t siblings = 1;      // sidecars that share these servers, this one included
-    bool list_on_request = false;    // the server list must be subscribed to,
-    Millis ask_within = 0;           // and a failed subscription renewed within this (0: no such rule)
-    std::uint32_t max_attempts = 3;  // for one request, the first included
-    bool parallel_tries = false;     // two attempts of one request may be out together
-    bool may_cancel = true;          // Cancel is permitted
-    Millis max_retry_in = 0;         // the longest advice that clients follow; 0: they get none
-    double cold_from = 1;            // a starting server has at least this share of its capacity, 0 to 1
-    Millis warm_within = 0;          // and all of it after this
-    double fall_multiple = 2;  // sent more than this multiple of what it can do, a cold server falls over
+    std::uint32_t siblings = 1;           // sidecars that share these servers, this one included
+    bool list_on_request = false;         // the server list must be subscribed to,
+    Millis ask_within = 0;                // and a failed subscription renewed within this (0: no such rule)
+    std::uint32_t max_attempts = 3;       // for one request, the first included
+    bool parallel_tries = false;          // two attempts of one request may be out together
+    bool may_cancel = true;               // Cancel is permitted
+    Millis max_retry_in = 0;              // the longest advice that clients follow; 0: they get none
+    double cold_from = 1;                 // a starting server has at least this share of its capacity, 0 to 1
+    Millis warm_within = 0;               // and all of it after this
+    double fall_multiple = 2;             // sent more than this multiple of what it can do,
+    Millis fall_within = 3000;            // over so long, a cold server falls over
     bool saturated_is_no_proof = false;   // Outcome::saturated may have run
     std::vector<double> tenant_shares{};  // of the service, by tenant; empty: no tenants
     double over_share_worth = 1;          // the part of its worth a request keeps beyond its tenant's share
@@ -204,8 +205,8 @@
     std::string text{};
     std::optional<ServerId> server{};  // whom it is about
 };
-using Action = std::variant<Send, Cancel, Refuse, GiveUp, SetTimer, Probe, CloseIdle, TellPeer, Subscribe,
-                            Log>;
+using Action =
+    std::variant<Send, Cancel, Refuse, GiveUp, SetTimer, Probe, CloseIdle, TellPeer, Subscribe, Log>;
 
 // ---- The balancer ---------------------------------------------------------------------------------------
 
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -109,6 +109,7 @@
     // Of the fleet, as last surveyed: completed by a warm server for us in a millisecond; warm and in the
     // pool.
     double warm_rate = 0, warm_live = 0;
+    std::map<KindId, double> warm_rates;  // by kind, of those that have a warm server
     Millis surveyed_at = -kSurvey;
 
     void act(const auto& action) { actions->emplace_back(action); }
@@ -152,15 +153,20 @@
         surveyed_at = now;
         const double before = std::exchange(warm_live, 0), out = std::max(mean_out, brief_out) + 1;
         double sum = 0, warm = 0;
+        std::map<KindId, std::pair<double, double>> kinds;  // sum and number
         for (const Server* s : fleet) {
             if (is_cold(*s)) continue;
-            sum += s->carried.at_time(now, kRateMemory), ++warm;
+            const double carried = s->carried.at_time(now, kRateMemory);
+            auto& [of_kind, many] = kinds[s->info.kind];
+            sum += carried, ++warm, of_kind += carried, ++many;
             warm_live += s->standing == Standing::live && !is_lost(s->info);
         }
         // Far fewer servers take as much less: all turn to them at once, and late answers tell it too late.
         if (const double left = kSpare * warm_live; left < before)
             room = std::max(room_floor(), std::min(room, out * left / before));
         warm_rate = sum / std::max(1.0, warm) / kRateMemory;
+        warm_rates.clear();
+        for (const auto& [kind, of] : kinds) warm_rates[kind] = of.first / of.second / kRateMemory;
     }
     double cold_tokens(Server& s) {
         const double share = settings.cold_from + (1 - settings.cold_from) * warmth(s.info, settings, now);
@@ -171,7 +177,10 @@
         const double feed = late > kAimShare ? 1 : std::max(1.0, kFeed * settings.fall_multiple);
         // Never less than the trials of a few sidecars: that much from each of a thousand pushes it over.
         survey();
-        const double fed = std::max(feed * share * warm_rate, our_part() / kBackoff);
+        // A slow kind among fast ones gets no more than its own do.
+        const auto own = warm_rates.find(s.info.kind);
+        const double rate = own == warm_rates.end() ? warm_rate : std::min(warm_rate, own->second);
+        const double fed = std::max(feed * share * rate, our_part() / kBackoff);
         s.tokens = std::min(s.tokens + (now - s.tokens_at) * fed, 1.0);
         s.tokens_at = now;
         return s.tokens;
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -33,6 +33,7 @@
     check_time(s.warm_within, "warm_within");
     check_time(s.ask_within, "ask_within");
     check(std::isfinite(s.fall_multiple) && s.fall_multiple >= 1, "fall_multiple");
+    check(std::isfinite(s.fall_within) && s.fall_within > 0, "fall_within");
     check(s.cold_from >= 0 && s.cold_from <= 1, "cold_from");
     for (std::size_t i = 0; i < s.tenant_shares.size(); ++i)
         check(std::isfinite(s.tenant_shares[i]) && s.tenant_shares[i] >= 0,
--- a/src/settings/site.cpp
+++ b/src/settings/site.cpp
@@ -120,6 +120,7 @@
     s.may_cancel = start.flag_or("limits.may-cancel", false);
     s.cold_from = start.number_or("rules.cold-from", s.cold_from);
     s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
+    s.fall_within = start.number_or("rules.fall-ms", s.fall_within);
     s.saturated_is_no_proof = start.flag_or("rules.busy-is-no-proof", s.saturated_is_no_proof);
     s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
     s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
--- /dev/null
+++ b/tests/cold_test.cpp
@@ -0,0 +1,325 @@
+// Rule 4 over a whole fleet: what all balancers together send to each cold server, in every window of the
+// time in which it would fall, against what it may be sent then and what is put down to chance. The fleet,
+// its servers and its clients are simulated here; their clock is the simulation's.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+
+#include "mothring/balancer.hpp"
+
+namespace mothring::test {
+namespace {
+
+struct World {
+    std::size_t balancers = 20;
+    std::size_t servers = 24;
+    double load = 0.55;       // of what all of them can do when warm
+    double slow_share = 0;    // of the servers that are of the slow kind
+    double slow_pace = 0.45;  // of a fast one's
+    double skew = 1;          // the spread of the balancers' shares of traffic: 0 alike
+    std::function<double(Millis)> demand = [](Millis) { return 1.0; };  // at that time, of `load`
+    std::function<bool(std::size_t server)> restarts = [](std::size_t s) { return s == 0; };
+    Millis restarts_at = 20000, length = 50000;
+    Millis balancers_restart_at = 0;  // all of them; 0: none
+    std::function<void(Settings&)> rules = [](Settings&) {};
+    std::uint64_t seed = 1;
+};
+
+Settings settings_of(const World& world) {
+    RequestClass c;
+    c.effect = Effect::repeatable;
+    c.aim = 750;
+    Settings s;
+    s.classes = {c};
+    s.max_attempts = 4;
+    s.siblings = static_cast<std::uint32_t>(world.balancers);
+    s.cold_from = 0.16;
+    s.warm_within = 23000;
+    s.fall_multiple = 4;
+    s.fall_within = 3000;
+    world.rules(s);
+    return s;
+}
+
+class Fleet {
+public:
+    explicit Fleet(World w) : world_(std::move(w)), settings_(settings_of(world_)), random_(world_.seed) {
+        for (std::size_t s = 0; s < world_.servers; ++s) {
+            Server server;
+            server.slow =
+                static_cast<double>(s) + 0.5 < world_.slow_share * static_cast<double>(world_.servers);
+            servers_.push_back(server);
+            whole_rate_ += kCores / service_of(server, 1);
+        }
+        std::lognormal_distribution<double> share(0, world_.skew);
+        for (std::size_t b = 0; b < world_.balancers; ++b) {
+            shares_.push_back(share(random_));
+            sum_ += shares_.back();
+            begin(b);
+        }
+        for (std::size_t b = 0; b < world_.balancers; ++b) next_arrival(b, 0);
+        at(world_.restarts_at, [this] {
+            for (std::size_t s = 0; s < servers_.size(); ++s)
+                if (world_.restarts(s)) servers_[s].started = now_, servers_[s].queue.clear();
+            for (std::size_t b = 0; b < balancers_.size(); ++b) give(b, list());
+        });
+        if (world_.balancers_restart_at > 0)
+            at(world_.balancers_restart_at, [this] {
+                for (std::size_t b = 0; b < balancers_.size(); ++b) begin(b);
+            });
+        while (!due_.empty() && due_.top().at < world_.length) {
+            const auto next = due_.top();
+            due_.pop();
+            now_ = next.at;
+            next.what();
+        }
+    }
+
+    // The worst window of any server: sent, against what it may be; above 1 the rule is broken.
+    struct Worst {
+        double ratio = 0, sent = 0, allowed = 0;
+        Millis from = 0;
+    };
+    Worst worst() const {
+        Worst worst;
+        for (const Server& s : servers_) {
+            std::size_t last = 0;
+            for (std::size_t first = 0; first < s.sent.size(); ++first) {
+                const Millis from = s.sent[first];
+                while (last < s.sent.size() && s.sent[last] <= from + settings_.fall_within) ++last;
+                const double n = settings_.fall_multiple * share_at(s, from) * kCores / service_of(s, 1) *
+                                 settings_.fall_within;
+                const double allowed = n + 2 * std::sqrt(n) + 2, sent = static_cast<double>(last - first);
+                if (sent / allowed > worst.ratio) worst = {sent / allowed, sent, allowed, from};
+            }
+        }
+        return worst;
+    }
+    // Of requests that arrived after the restart.
+    double served_share() const { return static_cast<double>(served_) / static_cast<double>(arrived_); }
+    std::size_t sent_to_cold() const {
+        std::size_t count = 0;
+        for (const Server& s : servers_) count += s.sent.size();
+        return count;
+    }
+
+private:
+    static constexpr double kCores = 2;
+    struct Job {
+        std::size_t balancer;
+        std::uint64_t life;
+        RequestId id;
+        std::uint32_t attempt;
+        Millis sent;
+    };
+    struct Server {
+        bool slow = false;
+        Millis started = 0;  // 0: long ago
+        int busy = 0;
+        std::deque<Job> queue;
+        std::vector<Millis> sent;  // while it was cold
+    };
+    struct One {
+        std::unique_ptr<Balancer> balancer;
+        std::uint64_t life = 0;
+        std::map<RequestId, std::uint32_t> attempts;
+    };
+    struct Due {
+        Millis at;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator<(const Due& other) const {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void at(Millis when, std::function<void()> what) { due_.push({when, next_++, std::move(what)}); }
+    double share_at(const Server& s, Millis when) const {
+        if (s.started == 0) return 1;
+        return std::min(1.0, settings_.cold_from +
+                                 (1 - settings_.cold_from) * (when - s.started) / settings_.warm_within);
+    }
+    // The time of one request on one core.
+    double service_of(const Server& s, double share) const {
+        return kService / (s.slow ? world_.slow_pace : 1) / share;
+    }
+    ServerList list() const {
+        ServerList list{ListKind::full, {}};
+        for (std::size_t s = 0; s < servers_.size(); ++s)
+            list.servers.push_back({static_cast<ServerId>(s + 1), 0, 0, Phase::on,
+                                    servers_[s].started > 0 ? kEpoch + servers_[s].started : 0,
+                                    servers_[s].slow ? 1U : 0U});
+        return list;
+    }
+    void begin(std::size_t b) {
+        if (balancers_.size() <= b) balancers_.resize(b + 1);
+        One& one = balancers_[b];
+        one = {std::make_unique<Balancer>(settings_, random_()), one.life + 1, {}};
+        give(b, Started{});
+        give(b, list());
+    }
+    void next_arrival(std::size_t b, Millis after) {
+        // Thinned from the highest demand, so that it may change at any time.
+        const double rate = world_.load * whole_rate_ * shares_[b] / sum_;
+        const Millis when = after + std::exponential_distribution<double>(rate * kPeak)(random_);
+        at(when, [this, b] {
+            if (std::uniform_real_distribution<double>(0, kPeak)(random_) < world_.demand(now_)) {
+                arrived_ += now_ > world_.restarts_at;
+                give(b, RequestArrived{next_id_++, 0, kDeadline});
+            }
+            next_arrival(b, now_);
+        });
+    }
+    void give(std::size_t b, const Event& event) {
+        One& one = balancers_[b];
+        std::vector<Action> actions;
+        one.balancer->handle(kEpoch + now_, event, actions);
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<Send>(&action)) {
+                const std::uint32_t number = one.attempts[send->id]++;
+                take(send->server - 1, {b, one.life, send->id, number, now_});
+            } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+                at(std::max(now_, timer->at - kEpoch), [this, b, life = one.life, token = timer->token] {
+                    if (balancers_[b].life == life) give(b, TimerFired{token});
+                });
+            }
+        }
+    }
+    void take(std::size_t s, const Job& job) {
+        Server& server = servers_[s];
+        if (share_at(server, now_) < 1) server.sent.push_back(now_);
+        server.queue.push_back(job);
+        work(s);
+    }
+    void work(std::size_t s) {
+        Server& server = servers_[s];
+        while (server.busy < kCores && !server.queue.empty()) {
+            const Job job = server.queue.front();
+            server.queue.pop_front();
+            ++server.busy;
+            const Millis lasts = std::lognormal_distribution<double>(-0.08, 0.4)(random_) *
+                                 service_of(server, share_at(server, now_));
+            at(now_ + lasts, [this, s] { --servers_[s].busy, work(s); });
+            at(now_ + lasts + kElsewhere, [this, job] {
+                if (balancers_[job.balancer].life != job.life) return;
+                const bool late = now_ - job.sent > kDeadline;
+                served_ += !late && job.sent > world_.restarts_at;
+                give(job.balancer,
+                     AttemptEnded{job.id, job.attempt, late ? Outcome::overdue : Outcome::completed,
+                                  now_ - job.sent, !late});
+            });
+        }
+    }
+
+    static constexpr Millis kEpoch = 1e6, kService = 61, kElsewhere = 145, kDeadline = 2500;
+    static constexpr double kPeak = 4;
+
+    const World world_;
+    const Settings settings_;
+    std::mt19937_64 random_;
+    std::vector<Server> servers_;
+    std::vector<One> balancers_;
+    std::vector<double> shares_;
+    double sum_ = 0, whole_rate_ = 0;
+    std::priority_queue<Due> due_;
+    std::uint64_t next_ = 0;
+    RequestId next_id_ = 1;
+    Millis now_ = 0;
+    std::size_t arrived_ = 0, served_ = 0;
+};
+
+constexpr std::size_t kSizes[] = {20, 30, 350};
+
+// Seeds are fixed, so a run is as another.
+void expect_kept(World world, const char* what) {
+    for (const std::size_t balancers : kSizes)
+        for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+            world.balancers = balancers;
+            world.servers = std::max<std::size_t>(24, balancers / 5);
+            world.seed = seed;
+            const Fleet fleet(world);
+            const Fleet::Worst worst = fleet.worst();
+            testing::Test::RecordProperty("worst_" + std::to_string(balancers) + "_" + std::to_string(seed),
+                                          std::to_string(worst.ratio));
+            EXPECT_LE(worst.ratio, 1)
+                << what << ", " << balancers << " balancers, seed " << seed << ": " << worst.sent
+                << " sent where " << worst.allowed << " may be, from " << worst.from;
+            EXPECT_GT(fleet.sent_to_cold(), 20U) << "they are to be warmed too";
+        }
+}
+
+TEST(ColdFleet, OneServerStartsUnderSteadyTraffic) { expect_kept({}, "steady"); }
+
+TEST(ColdFleet, HalfOfTheServersStart) {
+    World w;
+    w.restarts = [](std::size_t s) { return s % 2 == 0; };
+    expect_kept(w, "half");
+}
+
+TEST(ColdFleet, AllServersStartAtOnce) {
+    World w;
+    w.restarts = [](std::size_t) { return true; };
+    expect_kept(w, "all");
+}
+
+// The slow ones start among fast ones that stay warm: their part is that of their kind.
+TEST(ColdFleet, SlowServersStartAmongFastOnes) {
+    World w;
+    w.slow_share = 0.5;
+    w.load = 0.8;
+    w.restarts = [](std::size_t s) { return s < 3; };
+    expect_kept(w, "slow");
+}
+
+// What idle balancers have saved up must not all be spent as the traffic comes back.
+TEST(ColdFleet, TrafficComesBackInABurst) {
+    World w;
+    w.load = 0.35;
+    w.demand = [](Millis t) { return t < 22000 ? 1.0 : t < 32000 ? 0.03 : t < 34000 ? 2.0 : 0.5; };
+    expect_kept(w, "burst");
+}
+
+TEST(ColdFleet, BurstsEveryFewSeconds) {
+    World w;
+    w.load = 0.4;
+    w.demand = [](Millis t) { return std::fmod(t, 5000) < 800 ? 2.2 : 0.15; };
+    expect_kept(w, "bursts");
+}
+
+// Rules that leave less: a smaller multiple, over a shorter time, from colder on.
+TEST(ColdFleet, StricterRules) {
+    World w;
+    w.slow_share = 0.5;
+    w.load = 0.7;
+    w.rules = [](Settings& s) { s.fall_multiple = 2, s.fall_within = 1500, s.cold_from = 0.1; };
+    w.restarts = [](std::size_t s) { return s < 3; };
+    expect_kept(w, "steady");
+    w.load = 0.35;
+    w.demand = [](Millis t) { return t < 18000 ? 1.0 : t < 21000 ? 0.0 : t < 23000 ? 2.0 : 0.5; };
+    expect_kept(w, "burst");
+}
+
+// Seen to fail while each was fed by what the mean warm server does, whatever its kind.
+TEST(ColdFleet, SlowServersFallAtJustWhatTheyCanDo) {
+    World w;
+    w.slow_share = 0.5;
+    w.load = 0.8;
+    w.rules = [](Settings& s) { s.fall_multiple = 1, s.fall_within = 1000, s.cold_from = 0.1; };
+    w.restarts = [](std::size_t s) { return s < 3; };
+    expect_kept(w, "slow");
+}
+
+// New processes know nothing of what the old ones sent.
+TEST(ColdFleet, AllBalancersRestartWhileAServerIsCold) {
+    World w;
+    w.balancers_restart_at = 22500;
+    expect_kept(w, "restart");
+}
+
+}  // namespace
+}  // namespace mothring::test
