--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -464,11 +464,17 @@
 }
 
 Upstream::ConnectionPtr Upstream::take_idle(Server& server) {
-    while (!server.idle.empty()) {
-        const ConnectionPtr connection = std::move(server.idle.back());
-        server.idle.pop_back();
-        if (connection->fresh(limits_.idle)) return connection;
-        connection->close();
+    const auto rested = std::chrono::steady_clock::now() - span(limits_.rest);
+    for (std::size_t i = server.idle.size(); i > 0;
+         --i) {  // each closed one leaves the others in their order
+        const ConnectionPtr connection = server.idle[i - 1];
+        if (connection->idle_since() > rested) continue;
+        if (!connection->fresh(limits_.idle)) {
+            connection->close();
+            continue;
+        }
+        server.idle.erase(server.idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        return connection;
     }
     return nullptr;
 }
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -41,6 +41,9 @@
         Millis idle = 14000;            // a connection idle for longer is not used any more
         std::size_t connections = 512;  // open at once, to all servers
         Millis gather = 50;             // an answer of unknown length is kept for a retry at most so long
+        // A connection rests this long after an answer before it is used again: a second one that nobody
+        // asked for comes some milliseconds late, and nothing in it tells whose it is.
+        Millis rest = 10;
     };
 
     Upstream(boost::asio::io_context& io, Limits limits, std::shared_ptr<Budget> budget);
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -32,6 +32,12 @@
     }
 }
 
+// Until a connection that fell idle before may be used again.
+inline void let_rest(asio::io_context& io) {
+    const auto rested = std::chrono::steady_clock::now() + std::chrono::milliseconds(11);
+    run_until(io, [&] { return std::chrono::steady_clock::now() > rested; });
+}
+
 inline const Tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
 
 // What a scripted server does about a request: bytes to send, then perhaps the end of the connection.
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -41,6 +41,7 @@
     for (std::size_t i = 1; i <= 3; ++i) {
         c.send(request("listen", "id-" + std::to_string(i)));
         until([&] { return c.answers.size() == i; });
+        let_rest(io);
     }
     EXPECT_FALSE(c.ended);
     EXPECT_EQ(a.connections.size(), 1u);
