--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -50,6 +50,13 @@
     ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
 }
 
+// Whether any of these has come, without waiting for it.
+template <class Socket>
+bool look(Socket& socket, short events) {
+    pollfd entry{socket.native_handle(), events, 0};
+    return ::poll(&entry, 1, 0) > 0 && (entry.revents & events) != 0;
+}
+
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
 
 Front::Answer plain(http::status status) {
@@ -110,10 +117,7 @@
         return error == asio::error::would_block || error == asio::error::eof;
     }
     // Its end has come, be there bytes before it or not: a look at the bytes alone would not see it.
-    bool left() {
-        pollfd look{socket_.native_handle(), POLLRDHUP, 0};
-        return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-    }
+    bool left() { return look(socket_, POLLRDHUP | POLLHUP | POLLERR); }
     // Idle, with nothing of a request come.
     bool idle() { return phase_ == Phase::idle && buffer_.size() == 0 && quiet(); }
     // How soon it makes room for others where there is none: those that have sent nothing yet, those idle for
@@ -136,6 +140,7 @@
     // while, longer where it goes on sending.
     void finish(Millis longest) {
         phase_ = Phase::finishing;
+        since_ = Steady::now();
         error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
         finish_by_ = Steady::now() + span(longest);
@@ -598,17 +603,20 @@
 }
 
 // Near the bound the client of least use makes room, of those alike the one that has been so longest. An end
-// in order takes until the client's own, or a while: a part of the bound is for those on their way out. Where
-// nobody may make room, accepting waits.
+// in order takes until the client's own, or a while: a part of the bound is for those on their way out, and
+// only where a newcomer waits already is the first of them not waited for. Where nobody may make room,
+// accepting waits.
 bool Front::make_room() {
     const std::size_t most = most_clients_ - most_clients_ / kSparePart;
     if (clients_.size() < most) return true;
     std::vector<std::pair<std::pair<int, Steady::time_point>, ClientPtr>> order;
     std::size_t leaving = 0;
+    ClientPtr first;  // to leave
     for (const ClientPtr& client : clients_)
-        if (client->finishing())
+        if (client->finishing()) {
             ++leaving;
-        else if (client->use() < Client::kNeeded)
+            if (!first || client->since() < first->since()) first = client;
+        } else if (client->use() < Client::kNeeded)
             order.push_back({{client->use(), client->since()}, client});
     const auto later = [](const auto& a, const auto& b) { return a.first > b.first; };
     std::make_heap(order.begin(), order.end(), later);
@@ -619,6 +627,7 @@
         std::pop_heap(order.begin(), order.end(), later);
         order.pop_back();
     }
+    if (first && clients_.size() >= most_clients_ && look(acceptor_, POLLIN)) first->close();
     return clients_.size() < most_clients_;
 }
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,5 +1,6 @@
 // The configuration, and the program as the platform starts and ends it.
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -269,6 +270,41 @@
     EXPECT_EQ(status(third, "/ready"), 200u);
 }
 
+// Discovery is down while idle clients, who never go by themselves, take all that clients may have, some with
+// bytes of a further request that stay unread. The process is held to the descriptors that it was told of.
+TEST_F(Upgrade, IdleClientsTakeNoDescriptorFromDiscoveryOrNewcomers) {
+    const Tcp::endpoint discovery = agent.endpoint(), operators = free_address();
+    agent.close();
+    const auto text = [](const Tcp::endpoint& at) { return "127.0.0.1:" + std::to_string(at.port()); };
+    children.push_back(start(replaced(
+        config_json(text(discovery), list_json(1, true, {{"s-a", server.address()}}), "256", text(listen)),
+        "\"future\":[1]", "\"operator\":\"" + text(operators) + "\"")));
+    const Process process{0, operators};
+    run_until(io, [&] { return status(process, "/ready") == 200; });
+    const rlimit limit{256, 256};
+    ASSERT_EQ(::prlimit(children[0], RLIMIT_NOFILE, &limit, nullptr), 0);
+    std::list<Tcp::socket> idle;
+    for (int i = 0; i < 300; ++i) {
+        idle.emplace_back(io).connect(listen);
+        const std::string whole = request("listen", "id-" + std::to_string(i));
+        asio::write(idle.back(), asio::buffer(i % 3 == 0 ? whole + whole.substr(0, 30) : whole));
+    }
+    run_until(io, [&] { return server.requests.size() >= 116; });
+    const auto came = std::chrono::steady_clock::now();
+    TestClient newcomer(io, listen);
+    newcomer.send(request("listen", "id-new"));
+    run_until(io, [&] { return !newcomer.answers.empty() || newcomer.ended; });
+    EXPECT_EQ(newcomer.answers.size(), 1u);
+    EXPECT_LE(std::chrono::steady_clock::now() - came, std::chrono::seconds(3));
+    ScriptedServer back(
+        io, [](const auto&) { return Reply{}; }, discovery);
+    run_until(io, [&] { return !back.requests.empty(); });
+    EXPECT_EQ(status(process, "/ready"), 200u);
+    back.send(0, response("200 OK", list_json(2, false, {{"s-a", server.address(), "Terminating"}})));
+    run_until(io, [&] { return back.requests.size() == 2; });
+    EXPECT_FALSE(ended(process));
+}
+
 TEST_F(Upgrade, WithoutAnOperatorAddressASecondStartFails) {
     const std::string config = config_json(agent.address(), list_json(1, true, {{"s-a", server.address()}}),
                                            "1024", "127.0.0.1:" + std::to_string(listen.port()));
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -34,13 +34,14 @@
             in.append(piece.data(), count);
             most -= count;
         }
-        if (error && error != asio::error::would_block) ended = true;
+        if (error && error != asio::error::would_block && !std::exchange(ended, true)) this->error = error;
     }
     void turn() { write(), read(); }
     Tcp::socket socket;
     std::string in, out;
     std::size_t sent = 0;  // of `out`
     bool ended = false;
+    error_code error;  // by which it has ended
 };
 
 struct Stream : NetRig {
@@ -377,5 +378,62 @@
     EXPECT_EQ(a.requests.size(), 6u);
 }
 
+// An answer without a length that is reset has no end, be it small or passed on already: whoever reads it
+// must see that it is not whole.
+TEST_F(Stream, AResetIsNeverTheEndOfAnAnswerWithoutALength) {
+    start_raw();
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    for (const bool begun : {false, true})
+        for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+            servers.clear();
+            std::list<RawPeer> peers;
+            std::string text = request("deposit", "id-" + version + std::to_string(begun));
+            peers.emplace_back(io, sidecar->address()).out =
+                text.replace(text.find("HTTP/1.1"), version.size(), version);
+            move_until(peers, [&] { return !servers.empty() && !servers.front().in.empty(); });
+            servers.front().out = head + "all there is";
+            servers.front().turn();
+            if (begun)
+                move_until(peers, [&] { return peers.front().in.find("all there is") != std::string::npos; });
+            servers.front().socket.set_option(asio::socket_base::linger(true, 0));
+            servers.front().socket.close();
+            until([&] {
+                peers.front().turn();
+                return peers.front().ended || (!begun && !peers.front().in.empty());
+            });
+            const std::string& in = peers.front().in;
+            if (!begun) {
+                EXPECT_NE(in.find(" 502 "), std::string::npos) << in;
+            } else if (version == "HTTP/1.1") {
+                EXPECT_EQ(in.find("\r\n0\r\n"), std::string::npos) << "no last chunk: " << in;
+            } else {
+                EXPECT_EQ(peers.front().error, asio::error::connection_reset) << in;
+            }
+        }
+    until([&] { return sidecar->metrics().in_flight == 0; });
+    EXPECT_EQ(sum("served"), 0);
+}
+
+// An answer that never ends goes on as long as its client takes it, and ends with that.
+TEST_F(Stream, AnAnswerThatNeverEndsEndsWithItsClient) {
+    start_raw();
+    std::list<RawPeer> peers;
+    peers.emplace_back(io, sidecar->address()).out = request("listen", "id-1", 300);
+    move_until(peers, [&] { return !servers.empty() && !servers.front().in.empty(); });
+    servers.front().out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto late = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);  // twice its time
+    move_until(peers, [&] {
+        if (servers.front().out.empty()) servers.front().out = "4\r\nmore\r\n";
+        return std::chrono::steady_clock::now() > late;
+    });
+    EXPECT_FALSE(peers.front().ended);
+    peers.clear();
+    until([&] {
+        servers.front().turn();
+        return servers.front().ended && sidecar->records() == 0;
+    });
+    EXPECT_EQ(sidecar->held().requests, 0u);
+}
+
 }  // namespace
 }  // namespace mothring::node::test
