--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -140,7 +140,6 @@
     // while, longer where it goes on sending.
     void finish(Millis longest) {
         phase_ = Phase::finishing;
-        since_ = Steady::now();
         error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
         finish_by_ = Steady::now() + span(longest);
@@ -603,31 +602,30 @@
 }
 
 // Near the bound the client of least use makes room, of those alike the one that has been so longest. An end
-// in order takes until the client's own, or a while: a part of the bound is for those on their way out, and
-// only where a newcomer waits already is the first of them not waited for. Where nobody may make room,
+// in order takes until the client's own, or a while: a part of the bound is for those on their way out. Where
+// a newcomer waits already it is not waited for: the client is closed at once. Where nobody may make room,
 // accepting waits.
 bool Front::make_room() {
     const std::size_t most = most_clients_ - most_clients_ / kSparePart;
     if (clients_.size() < most) return true;
     std::vector<std::pair<std::pair<int, Steady::time_point>, ClientPtr>> order;
     std::size_t leaving = 0;
-    ClientPtr first;  // to leave
     for (const ClientPtr& client : clients_)
-        if (client->finishing()) {
+        if (client->finishing())
             ++leaving;
-            if (!first || client->since() < first->since()) first = client;
-        } else if (client->use() < Client::kNeeded)
+        else if (client->use() < Client::kNeeded)
             order.push_back({{client->use(), client->since()}, client});
     const auto later = [](const auto& a, const auto& b) { return a.first > b.first; };
     std::make_heap(order.begin(), order.end(), later);
-    while (!order.empty() && clients_.size() - leaving >= most) {
+    const bool pressed = clients_.size() >= most_clients_ && look(acceptor_, POLLIN);
+    while (!order.empty() &&
+           (pressed ? clients_.size() >= most_clients_ : clients_.size() - leaving >= most)) {
         const ClientPtr client = order.front().second;
-        if (client->quiet()) client->yield();
+        if (client->quiet()) pressed ? client->close() : client->yield();
         leaving += client->finishing();
         std::pop_heap(order.begin(), order.end(), later);
         order.pop_back();
     }
-    if (first && clients_.size() >= most_clients_ && look(acceptor_, POLLIN)) first->close();
     return clients_.size() < most_clients_;
 }
 
