--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -8,12 +8,6 @@
 namespace mothring::node::test {
 namespace {
 
-std::string replaced(std::string text, const std::string& what, const std::string& by) {
-    const auto at = text.find(what);
-    EXPECT_NE(at, std::string::npos) << what;
-    return text.replace(at, what.size(), by);
-}
-
 // A server whose connections do not come up until it lets go: its queue is full, so that the kernel drops
 // what asks for one, which then asks again.
 class HeldServer {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -38,6 +38,13 @@
     run_until(io, [&] { return std::chrono::steady_clock::now() > rested; });
 }
 
+// The text with its first such part changed.
+inline std::string replaced(std::string text, const std::string& what, const std::string& by) {
+    const auto at = text.find(what);
+    EXPECT_NE(at, std::string::npos) << what;
+    return text.replace(at, what.size(), by);
+}
+
 inline const Tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
 
 // What a scripted server does about a request: bytes to send, then perhaps the end of the connection.
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -17,12 +17,6 @@
 const std::string good =
     config_json("127.0.0.1:9", list_json(41, true, {{"s-a", "127.0.0.1:9", "Terminating"}}));
 
-std::string replaced(std::string text, const std::string& what, const std::string& by) {
-    const auto at = text.find(what);
-    EXPECT_NE(at, std::string::npos) << what;
-    return text.replace(at, what.size(), by);
-}
-
 TEST(Configuration, IsReadWithItsSettings) {
     const Config config = read_config(good);
     EXPECT_EQ(config.name, "n1");
