Calls to a discovery that turns them away back off by the time it has done so

Cause: a retry storm. After a failed call the policy waited a sixteenth of the time to or since the bound of 6 s, 75 to 1,500 ms, the more often the longer it had failed. Traced (debug log, every call): 1,000 to 1,800 calls a second, all 503 but those of the 51 watches of the first second; the first new watch came at 22 s, as the calls fell under 340 a second. That fits a queue in which an answer takes 1/49 s, a refusal 1/21 of an answer, none waits over 1 s, and the refusals' time adds up: simulated, the old schedule lets the fleet in at 22 to 26 s with 20, 30, 350 and 1,024 sidecars alike.

Ruled out: the first second's 302 refusals of 350 (0.3 s of discovery's time); calls without hold_ms as a cheap first one (free only while discovery has nothing to tell, later each takes as long as a new watch: 45 a second answered of 100); that an empty answer costs less than a list (45 a second either way).

Change: src/policy/discovery_retry.hpp. Turned away: half to all of 1.5 s (the old bound on it, as 2 s for a call that hangs and 2 s for the next one's turn follow), past 6 s of failures of a quarter of their time, up to 8 s. Few sidecars: sooner. A watch that ends or falls silent, and nobody there: soon, as before. Retry-After is kept to. The node tells which it was.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -98,6 +98,14 @@
     superseded           // not issued at all; never ran
 };
 
+// What has become of a call for the list that failed.
+enum class ListFailure {
+    unreachable,  // nobody accepts connections there
+    turned_away,  // answered that it can't be handled now
+    broken,       // the connection ended without an answer, or with one that can't be read
+    silent        // no answer in time
+};
+
 struct Started {};  // the first event of a life; a list of kind saved follows
 struct ServerList {
     ListKind kind = ListKind::full;
@@ -105,6 +113,8 @@
     // failed: after this what the list held has missed counts as told (below 0: it does), so that a drain
     // nobody heard of has to be known by then; none: not known.
     std::optional<Millis> told_within{};
+    ListFailure failure = ListFailure::turned_away;  // of kind failed
+    std::optional<Millis> retry_after{};             // failed: the wait that discovery asks for, if it does
 };
 struct RequestArrived {
     RequestId id = 0;               // never used twice
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -55,7 +56,7 @@
         });
         if (socket_.is_open()) return write();
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
-            if (failed) return self->end("not connected: " + failed.message(), true);
+            if (failed) return self->end("not connected: " + failed.message(), ListFailure::unreachable);
             log(spdlog::level::debug, "discovery.connected", {{"after_ms", self->age()}});
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
@@ -79,13 +80,22 @@
     }
     void read() {
         parser_.emplace();
-        async_read_bounded(socket_, buffer_, *parser_, kListLimit,
-                           [self = shared_from_this()](error_code failed) {
-                               if (failed) return self->end("broken off: " + failed.message());
-                               const auto& answer = self->parser_->get();
-                               const bool ok = answer.result() == http::status::ok;
-                               self->end(ok ? "" : "status " + std::to_string(answer.result_int()));
-                           });
+        async_read_bounded(
+            socket_, buffer_, *parser_, kListLimit, [self = shared_from_this()](error_code failed) {
+                if (failed) return self->end("broken off: " + failed.message());
+                const auto& answer = self->parser_->get();
+                const bool ok = answer.result() == http::status::ok;
+                self->end(ok ? "" : "status " + std::to_string(answer.result_int()), ListFailure::turned_away,
+                          retry_after(answer[http::field::retry_after]));
+            });
+    }
+    // In seconds, whole or decimal; what can't be read is not there.
+    static std::optional<Millis> retry_after(boost::beast::string_view seconds) {
+        double value = 0;
+        if (!parse(std::string_view(seconds.data(), seconds.size()), value) || !std::isfinite(value) ||
+            value < 0)
+            return std::nullopt;
+        return value * 1000;
     }
     void drop() {
         error_code ignored;
@@ -93,7 +103,8 @@
         timer_.cancel();
     }
     // `why`: empty where there is an answer.
-    void end(std::string why, bool refused = false) {
+    void end(std::string why, ListFailure failure = ListFailure::broken,
+             std::optional<Millis> retry_after = {}) {
         const Done done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
@@ -103,7 +114,8 @@
         log(spdlog::level::debug, "discovery.ended",
             {{"after_ms", age()}, {"why", why}, {"bytes", answer.body ? answer.body->size() : 0}});
         answer.why = std::move(why);
-        answer.refused = refused;
+        answer.failure = failure;
+        answer.retry_after = retry_after;
         done(std::move(answer));
     }
     Millis age() const { return millis(Steady::now() - since_); }
@@ -175,7 +187,7 @@
     told_by(call.since() + span(kTold));
     drop(late_);
     late_ = std::exchange(watch_, nullptr);
-    failed("no answer in time");
+    failed("no answer in time", ListFailure::silent);
 }
 
 void Discovery::told_by(Steady::time_point at) { told_at_ = told_at_ ? std::min(*told_at_, at) : at; }
@@ -190,7 +202,7 @@
 }
 
 void Discovery::finished(const Call& call, Answer answer) {
-    const auto& [body, said, refused] = answer;
+    const auto& [body, said, failure, retry_after] = answer;
     const bool late = &call == late_.get();
     const auto since = call.since();
     std::string why = said;
@@ -220,11 +232,11 @@
     }
     if (!list) {
         // Whoever is refused knows that discovery can't be reached yet: the time begins after that.
-        if (refused)
+        if (failure == ListFailure::unreachable)
             told_at_ = Steady::now() + span(kTold);
         else
             told_by(since + span(kTold));
-        return failed(why);
+        return failed(why, body ? ListFailure::broken : failure, retry_after);
     }
     backoff_ = kFirstBackoff;
     told_at_.reset();
@@ -237,9 +249,9 @@
     if (list->full || !list->members.empty() || again) callbacks_.changed(std::move(*list));
 }
 
-void Discovery::failed(const std::string& why) {
+void Discovery::failed(const std::string& why, ListFailure kind, std::optional<Millis> retry_after) {
     if (!std::exchange(told_, true)) log(spdlog::level::warn, "discovery.failed", {{"why", why}});
-    if (!persistent_) return callbacks_.failed(millis(*told_at_ - Steady::now()));
+    if (!persistent_) return callbacks_.failed({kind, millis(*told_at_ - Steady::now()), retry_after});
     timer_.expires_after(span(backoff_));
     backoff_ = std::min(2 * backoff_, longest_backoff_);
     timer_.async_wait([this](error_code cancelled) {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -15,11 +15,17 @@
 
 class Discovery {
 public:
+    // A call that has failed.
+    struct Failure {
+        ListFailure kind = ListFailure::broken;
+        // The time (ms) after which what the list held may have missed counts as told, below 0 once it does.
+        Millis told_within = 0;
+        std::optional<Millis> retry_after;  // what discovery asks for, if anything
+    };
     struct Callbacks {
         std::function<void(MemberList)> changed;  // also without entries: the first answer after a failure
-        // Only where the watch does not go on by itself. The time (ms) after which what the list held may
-        // have missed counts as told, below 0 once it does.
-        std::function<void(Millis told_within)> failed;
+        // Only where the watch does not go on by itself.
+        std::function<void(const Failure& failure)> failed;
     };
     // `persistent`: a watch that fails is begun again by itself; else whoever wants it asks for it anew.
     // `drain_grace` (rules.stop-sending-within-ms): for so long sends may go on after a drain was told.
@@ -45,14 +51,15 @@
     struct Answer {
         std::optional<std::string> body;
         std::string why;
-        bool refused = false;  // there was nobody to connect to
+        ListFailure failure = ListFailure::broken;
+        std::optional<Millis> retry_after;
     };
     using Steady = std::chrono::steady_clock;
     void begin();
     void overdue(const Call& call);
     void told_by(Steady::time_point at);
     void finished(const Call& call, Answer answer);
-    void failed(const std::string& why);
+    void failed(const std::string& why, ListFailure kind, std::optional<Millis> retry_after = {});
     static void drop(std::shared_ptr<Call>& call);
 
     boost::asio::io_context& io_;
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -92,14 +92,16 @@
         }
     }
     const bool asked = config_.site.settings.list_on_request;
-    discovery_.emplace(io, config_.discovery, config_.known.version, !asked, config_.drain_grace,
-                       Discovery::Callbacks{[this](MemberList changes) {
-                                                list(changes.full ? ListKind::full : ListKind::incremental,
-                                                     changes);
-                                            },
-                                            [this](Millis told_within) {
-                                                give(ServerList{ListKind::failed, {}, told_within});
-                                            }});
+    discovery_.emplace(
+        io, config_.discovery, config_.known.version, !asked, config_.drain_grace,
+        Discovery::Callbacks{
+            [this](MemberList changes) {
+                list(changes.full ? ListKind::full : ListKind::incremental, changes);
+            },
+            [this](const Discovery::Failure& failure) {
+                give(
+                    ServerList{ListKind::failed, {}, failure.told_within, failure.kind, failure.retry_after});
+            }});
     if (config_.may_tell && config_.peer_listen)
         peers_.emplace(io, *config_.peer_listen, config_.peers, config_.peers_all,
                        [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "discovery_retry.hpp"
 #include "mothring/balancer.hpp"
 #include "state.hpp"
 #include "support.hpp"
@@ -53,18 +54,12 @@
 constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
 constexpr Millis kNever = 1e15;
-constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
-// Where it is known when what was missed counts as told: the part of the time to or since then that is
-// waited, and no less than that, as calls are handled in turn.
-constexpr double kAsks = 16;
-// With its jitter, half as much again, the longest leaves 4.5 s of the 6 s after which a change counts as
-// told: 2 s for a call that hangs, 2 s for the next one's turn.
-constexpr Millis kSoonest = 150, kSeldomest = 1000;
 
 }  // namespace
 
 struct Balancer::Impl {
-    Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
+    Impl(Settings s, std::uint64_t seed)
+        : settings(std::move(s)), random(seed), discovery_retry(settings.siblings) {
         validate(settings);
         for (const RequestClass& c : settings.classes)
             top_worth = std::max(top_worth, c.worth), least_aim = std::min(least_aim, c.aim);
@@ -79,7 +74,7 @@
     std::unordered_map<TimerToken, std::optional<RequestId>> timers;  // none: the list's
     TimerToken next_token = 1;
     std::uint64_t next_order = 0;
-    Millis resubscribe = kResubscribe;
+    DiscoveryRetry discovery_retry;
     double retry_budget = kRetryBurst;
     int outstanding = 0;   // at servers that were warm when asked
     double mean_out = 0;   // the same, its mean over time of late
@@ -194,19 +189,13 @@
 
     void on(const ServerList& list) {
         if (list.kind == ListKind::failed) {
-            // The list is one service for all: come back later and not in step with the others, but in time:
-            // who has not asked for ask_within counts as told of every drain (rule 3). Where that moment is
-            // known, the more often the nearer it is: whoever has most time left leaves the others their
-            // turn. But never so seldom that what comes next counts as told before a call.
-            const Millis most = settings.ask_within > 0 ? settings.ask_within : kResubscribe * 8;
-            const Millis wait = list.told_within
-                                    ? std::clamp(std::abs(*list.told_within) / kAsks, kSoonest, kSeldomest)
-                                    : resubscribe;
-            set_timer(now + std::min(wait * (0.5 + random.unit()), most), std::nullopt);
-            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            const Millis wait = discovery_retry.wait_after(list, now, random);
+            // Who has not asked for ask_within counts as told of every drain (rule 3).
+            set_timer(now + (settings.ask_within > 0 ? std::min(wait, settings.ask_within) : wait),
+                      std::nullopt);
             return;
         }
-        if (list.kind != ListKind::saved) resubscribe = kResubscribe;
+        if (list.kind != ListKind::saved) discovery_retry.answered();
         if (list.kind != ListKind::incremental)
             for (auto& [id, s] : servers) s.listed = false;
         for (const ServerInfo& info : list.servers) learn(info);
