A list past its bound: work only to servers known to take it since, no trials

What a sidecar may go by: who has completed work sent within the last 6 s was not leaving then, and if it has begun to since, that does not count as told yet. Who has turned work away, refused a connection, reset one or fallen silent since the list was last true may have been gone in between, whatever it answers now. So past the bound only servers with the first and without the second get work, and no trial is made; where there is none, any that is listed, as before.

--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -54,6 +54,8 @@
 constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
 constexpr int kDraws = 16;       // of a server for our part, before what we have must do
 constexpr Millis kNever = 1e15;
+// A change that a call has missed counts as told this long after discovery had it (PROTOCOL, "Figures").
+constexpr Millis kToldWithin = 6000;
 
 }  // namespace
 
@@ -75,6 +77,8 @@
     TimerToken next_token = 1;
     std::uint64_t next_order = 0;
     DiscoveryRetry discovery_retry;
+    // From here on changes that the list held has missed count as told.
+    Millis list_stale_at = kNever;
     double retry_budget = kRetryBurst;
     int outstanding = 0;   // at servers that were warm when asked
     double mean_out = 0;   // the same, its mean over time of late
@@ -193,9 +197,10 @@
             // Who has not asked for ask_within counts as told of every drain (rule 3).
             set_timer(now + (settings.ask_within > 0 ? std::min(wait, settings.ask_within) : wait),
                       std::nullopt);
+            if (list.told_within) list_stale_at = now + *list.told_within;
             return;
         }
-        if (list.kind != ListKind::saved) discovery_retry.answered();
+        if (list.kind != ListKind::saved) discovery_retry.answered(), list_stale_at = kNever;
         if (list.kind != ListKind::incremental)
             for (auto& [id, s] : servers) s.listed = false;
         for (const ServerInfo& info : list.servers) learn(info);
@@ -213,6 +218,15 @@
         release_held();
     }
 
+    // A list that could not be renewed in time may name servers that have begun to leave, or that were gone
+    // and came back, and sends to either break rule 3. What an answer proves: who took new work within
+    // kToldWithin was not leaving then, and if it has begun to since, that does not count as told yet. Who
+    // has failed us since the list was true may have been gone in between, whatever it answers now.
+    bool is_known_present(const Server& s) const {
+        if (now < list_stale_at) return true;
+        return s.doubted_at < list_stale_at - kToldWithin && now < s.took_work_at + kToldWithin;
+    }
+
     void learn(const ServerInfo& info) {
         const auto [it, fresh] = servers.try_emplace(info.id);
         Server& s = it->second;
@@ -309,6 +323,7 @@
     // ---- Pick -------------------------------------------------------------------------------------------
 
     Server* due_trial(const Request& r) {
+        if (now >= list_stale_at) return nullptr;
         for (const ServerId id : ejected)
             if (Server& s = servers.at(id); now >= s.backoff_until && may_send(r, s)) return &s;
         return nullptr;
@@ -317,10 +332,15 @@
     Server* pick(const Request& r, bool admitted) {
         // Our part of the pool: two servers more than we have attempts out. Over more of them a light sidecar
         // fills no window; one that is removed leaves its place to another.
-        std::vector<Server*> live, leave, again;
+        std::vector<Server*> live, leave, again, unknown;
+        const auto list_for = [&](const Server& s) -> std::vector<Server*>& {
+            if (!is_known_present(s)) return unknown;
+            if (r.tried(s.info.id) || shuns(r, s)) return again;
+            return better_left(r, s) ? leave : live;
+        };
         const auto offer = [&](Server& s) {
             if (s.standing == Standing::live && (admitted || is_cold(s)) && may_send(r, s))
-                (r.tried(s.info.id) || shuns(r, s) ? again : better_left(r, s) ? leave : live).push_back(&s);
+                list_for(s).push_back(&s);
         };
         std::erase_if(used, [](const Server* s) { return !s->in_use; });
         for (Server* s : used) offer(*s);
@@ -339,7 +359,7 @@
         }
         for (std::size_t i = 0; admitted && live.empty() && i < fleet.size(); ++i)
             if (spare(fleet[i])) offer(*fleet[i]);
-        for (auto* const rest : {&leave, &again})
+        for (auto* const rest : {&leave, &again, &unknown})
             if (live.empty()) live.swap(*rest);
         if (live.empty()) return nullptr;
         Server* const best = better_of_two(live);
@@ -362,6 +382,7 @@
             const std::uint64_t rank = rank_of(r.affinity, s->info.hash);
             if (best && rank <= most) continue;
             if (s->standing != Standing::live || r.tried(s->info.id) || shuns(r, *s)) continue;
+            if (!is_known_present(*s)) continue;
             if (s->outstanding + 1 > bound || (!admitted && !is_cold(*s)) || !may_send(r, *s)) continue;
             best = s, most = rank;
         }
@@ -594,6 +615,8 @@
         answered.add(overdue ? 0.0 : 1.0, now, kSamples, kRateMemory);
         const bool silent = overdue && s.answered_at < a.sent_at && answered.value > 0.5;
         if (is_answer(e.outcome)) s.answered_at = s.quiet_since = now, lost[s.info.zone].answered(s.info);
+        if (e.outcome == Outcome::completed) s.took_work_at = std::max(s.took_work_at, a.sent_at);
+        if (silent || may_have_left(e.outcome)) s.doubted_at = now;
         adapt_room(s, r, e, silent);
         if (e.outcome == Outcome::completed) {
             s.carried.add(1, now, kRateMemory);
--- a/src/policy/support.hpp
+++ b/src/policy/support.hpp
@@ -37,6 +37,11 @@
     return o == Outcome::completed || o == Outcome::errored || o == Outcome::saturated;
 }
 
+// Whether a server that has left, or begun to, fails attempts in this way.
+inline bool may_have_left(Outcome o) {
+    return o == Outcome::saturated || o == Outcome::refused_connection || o == Outcome::severed;
+}
+
 // What is left at now of a weight of 1 at since, for a memory of that length.
 inline double fade(Millis since, Millis now, Millis memory) { return std::exp((since - now) / memory); }
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -405,6 +405,57 @@
     expect_drain_told(agent, std::chrono::milliseconds(3600));
 }
 
+// Discovery turns every call away. Meanwhile a server goes, and another comes up in its place that answers:
+// of either nobody has told, so that past the bound it may be one that was gone and came back, and each
+// request sent to it one too many. The others are known to take new work.
+TEST_F(Asking, ServerGoneAndBackWhileTurnedAway_pastBound_getsNothingUntilListed) {
+    agent.script = [](const auto&) { return Reply{response("503 Busy", "too many calls")}; };
+    sidecar.emplace(
+        io,
+        read_config(replaced(
+            config_json(agent.address(), list_json(41, true, {{"s-a", a.address()}, {"s-b", b.address()}})),
+            "\"pushed\"", "\"on_request\"")));
+    const auto bound = Steady::now() + std::chrono::milliseconds(6000);
+    int next = 0;
+    const auto serve_until = [&](const std::function<bool()>& reached) {
+        while (!reached() && !HasFailure())
+            EXPECT_EQ(ask(request("listen", "id-" + std::to_string(next++))).result_int(), 200u);
+    };
+    serve_until([&] { return a.requests.size() >= 10 && b.requests.size() >= 10; });
+    // Its process ends under a request, and the next one answers at once.
+    bool killed = false;
+    a.script = [&](const auto& r) { return std::exchange(killed, true) ? serve(r) : Reply{"", false, true}; };
+    serve_until([&] { return killed; });
+    const std::size_t after_return = a.requests.size();
+    serve_until([&] { return Steady::now() >= bound; });
+    EXPECT_GT(a.requests.size(), after_return) << "within the bound it is as listed";
+    // The clock of the bound is the sidecar's: it began with its first call.
+    serve_until([&] { return Steady::now() >= bound + std::chrono::milliseconds(200); });
+    const std::size_t before = a.requests.size();
+    for (int i = 0; i < 50; ++i) serve_until([&, from = next] { return next > from; });
+    EXPECT_EQ(a.requests.size(), before);
+    // Told of it at last, it is used again.
+    bool told = false;
+    agent.script = [&](const auto&) {
+        if (std::exchange(told, true)) return Reply{};
+        return Reply{response("200 OK", list_json(42, true, {{"s-a", a.address()}, {"s-b", b.address()}}))};
+    };
+    until([&] { return sidecar->metrics().list.version == 42; });
+    serve_until([&] { return a.requests.size() > before; });
+}
+
+// The same, with nobody else: whoever is listed is better than none.
+TEST_F(Asking, OnlyServerGoneAndBackWhileTurnedAway_pastBound_stillServes) {
+    agent.script = [](const auto&) { return Reply{response("503 Busy")}; };
+    start_asking();
+    const auto bound = Steady::now() + std::chrono::milliseconds(6200);
+    bool killed = false;
+    a.script = [&](const auto& r) { return std::exchange(killed, true) ? serve(r) : Reply{"", false, true}; };
+    ask(request("listen", "id-killed"));
+    until([&] { return Steady::now() >= bound; });
+    EXPECT_EQ(ask(request("listen", "id-served")).result_int(), 200u);
+}
+
 // Silent once more right after it was begun anew: the next call comes in time still.
 TEST_F(Asking, AWatchSilentTwiceIsBegunAThirdTimeInTime) {
     start_asking();
