--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -21,7 +21,7 @@
 double at_share(std::vector<double> values, double share) {
     if (values.empty()) return 0;
     std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5)];
+    return values[static_cast<std::size_t>(std::lround(share * static_cast<double>(values.size() - 1)))];
 }
 
 std::uint64_t seed_of(const benchmark::State& state, std::uint64_t iteration) {
@@ -29,7 +29,7 @@
 }
 
 // From a kill until each other member declares it dead.
-void Detection(benchmark::State& state) {
+void detection(benchmark::State& state) {
     const auto members = static_cast<std::size_t>(state.range(0));
     std::vector<double> after, first_suspicion;
     std::uint64_t iteration = 0;
@@ -60,7 +60,7 @@
 }
 
 // From a restart (an update: a new life) until 99 % of the others know it.
-void Spread(benchmark::State& state) {
+void spread(benchmark::State& state) {
     const auto members = static_cast<std::size_t>(state.range(0));
     std::vector<double> times;
     std::uint64_t iteration = 0;
@@ -92,7 +92,7 @@
 }
 
 // An hour of calm but for loss.
-void Calm(benchmark::State& state) {
+void calm(benchmark::State& state) {
     const auto members = static_cast<std::size_t>(state.range(0));
     double deaths = 0, suspicions = 0, hours = 0, bytes = 0, seconds = 0;
     std::uint64_t iteration = 0;
@@ -121,9 +121,9 @@
         for (const std::int64_t loss : losses) b->Args({members, loss});
     b->ArgNames({"members", "loss_pc"})->Unit(benchmark::kMillisecond);
 }
-BENCHMARK(Detection)->Apply([](auto* b) { sizes(b, {0, 20}); }) -> Iterations(100);
-BENCHMARK(Spread)->Apply([](auto* b) { sizes(b, {0, 20}); }) -> Iterations(100);
-BENCHMARK(Calm)->Apply([](auto* b) { sizes(b, {0, 5, 20}); }) -> Iterations(2);
+BENCHMARK(detection)->Apply([](auto* b) { sizes(b, {0, 20}); }) -> Iterations(100);
+BENCHMARK(spread)->Apply([](auto* b) { sizes(b, {0, 20}); }) -> Iterations(100);
+BENCHMARK(calm)->Apply([](auto* b) { sizes(b, {0, 5, 20}); }) -> Iterations(2);
 
 }  // namespace
 
--- a/src/cluster/agent.cpp
+++ b/src/cluster/agent.cpp
@@ -186,7 +186,7 @@
             if (callbacks_.learnt) callbacks_.learnt(change);
         for (const std::string& name : effects.syncs)
             if (const auto to = sync_address(name))
-                asio::co_spawn(io_, call(shared_from_this(), *to), [](std::exception_ptr, bool) {});
+                asio::co_spawn(io_, call(shared_from_this(), *to), [](const std::exception_ptr&, bool) {});
         if (effects.syncs.empty() && effects.changes.empty()) return;
         if (const View view = membership_->view();
             view.present() != told_present_ || view.quorum() != told_quorum_) {
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -76,8 +76,8 @@
 }  // namespace
 
 const char* name_of(Rejection rejection) {
-    constexpr const char* names[] = {"oversized", "version", "forged", "malformed", "replayed"};
-    return names[static_cast<std::size_t>(rejection)];
+    constexpr const char* kNames[] = {"oversized", "version", "forged", "malformed", "replayed"};
+    return kNames[static_cast<std::size_t>(rejection)];
 }
 
 Codec::Codec(std::string key, std::string name, std::uint64_t life)
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -31,8 +31,8 @@
 }  // namespace
 
 const char* name_of(State state) {
-    constexpr const char* names[] = {"alive", "suspect", "dead", "left"};
-    return names[static_cast<std::size_t>(state)];
+    constexpr const char* kNames[] = {"alive", "suspect", "dead", "left"};
+    return kNames[static_cast<std::size_t>(state)];
 }
 
 Millis Parameters::suspicion_timeout(std::size_t members, unsigned confirmations) const {
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -79,7 +79,7 @@
     return sum;
 }
 
-Lab::Lab(Scenario scenario, std::filesystem::path folder, std::filesystem::path program)
+Lab::Lab(Scenario scenario, const std::filesystem::path& folder, const std::filesystem::path& program)
     : scenario_(std::move(scenario)),
       folder_(std::filesystem::absolute(folder)),
       program_(std::filesystem::absolute(program)),
--- a/src/lab/lab.hpp
+++ b/src/lab/lab.hpp
@@ -76,7 +76,7 @@
 class Lab {
 public:
     // `program`: the sidecar to start. `folder`: where its configurations, logs and temporary files go.
-    Lab(Scenario scenario, std::filesystem::path folder, std::filesystem::path program);
+    Lab(Scenario scenario, const std::filesystem::path& folder, const std::filesystem::path& program);
     ~Lab();  // every child is killed and reaped
     Lab(const Lab&) = delete;
     Lab& operator=(const Lab&) = delete;
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 #include <vector>
 
 namespace mothring::lab {
@@ -63,7 +64,7 @@
     Link& link = links_.emplace_back();
     link.out = direction(from, to);
     link.back = direction(to, from);
-    link.target = target;
+    link.target = std::move(target);
     // The port is the system's choice, and then bound by number: a listener that is shut down, so that
     // connections are refused, keeps only a port it asked for.
     Tcp::acceptor chosen(worker_.io(), Tcp::v4());
@@ -72,7 +73,7 @@
     link.acceptor.emplace(worker_.io(), Tcp::v4());
     link.acceptor->set_option(asio::socket_base::reuse_address(true));
     link.acceptor->bind(chosen.local_endpoint());
-    const Tcp::endpoint endpoint = link.acceptor->local_endpoint();
+    Tcp::endpoint endpoint = link.acceptor->local_endpoint();
     open(link);
     apply(link);
     return endpoint;
@@ -111,7 +112,8 @@
         // Begun and not waited for: where the queue is full already it would never come up.
         link.filler->native_non_blocking(true, ignored);
         const Tcp::endpoint own = link.acceptor->local_endpoint();
-        ::connect(link.filler->native_handle(), own.data(), static_cast<socklen_t>(own.size()));
+        static_cast<void>(
+            ::connect(link.filler->native_handle(), own.data(), static_cast<socklen_t>(own.size())));
     } else {
         link.filler.reset();
         if (!link.refused) open(link);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -1,6 +1,7 @@
 #include "lab/report.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -50,7 +51,7 @@
 // The share-th of sorted values.
 double at_share(const std::vector<double>& sorted, double share) {
     if (sorted.empty()) return 0;
-    const auto rank = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1) + 0.5);
+    const auto rank = static_cast<std::size_t>(std::lround(share * static_cast<double>(sorted.size() - 1)));
     return sorted[rank];
 }
 
@@ -155,6 +156,7 @@
 template <class Value>
 std::vector<double> values(const std::vector<Tally>& seconds, Value value) {
     std::vector<double> out;
+    out.reserve(seconds.size());
     for (const Tally& t : seconds) out.push_back(value(t));
     return out;
 }
@@ -259,6 +261,7 @@
             sum[i] += static_cast<double>(s.counts.seconds[i]);
     }
     std::vector<Line> arrivals;
+    arrivals.reserve(zones.size());
     for (const auto& [zone, series] : zones)
         arrivals.push_back({"zone " + zone, colors[arrivals.size() % kEnds], series});
     page << plot("Attempts arriving a second, by the servers' zone", arrivals, r.faults, seconds);
--- a/src/lab/scan_server.cpp
+++ b/src/lab/scan_server.cpp
@@ -125,7 +125,7 @@
 Task ScanServer::serve(ConnectionPtr connection) {
     error_code failed;
     connection->socket.set_option(Tcp::no_delay(true), failed);
-    for (bool go_on = true; go_on;) {
+    for (;;) {
         connection->request = {};
         // Closed no later than when it has stood idle for the time in the settings.
         connection->idle.expires_after(span(behaviour_.idle_close));
@@ -135,7 +135,7 @@
         co_await http::async_read(connection->socket, connection->buffer, connection->request, into(failed));
         connection->idle.cancel();
         if (failed) co_return;
-        go_on = co_await answer(*connection);
+        if (!co_await answer(*connection)) co_return;
     }
 }
 
--- a/src/lab/stats.hpp
+++ b/src/lab/stats.hpp
@@ -47,7 +47,7 @@
 
 private:
     static std::size_t place(std::uint64_t value) {
-        const int bits = std::bit_width(value);
+        const int bits = static_cast<int>(std::bit_width(value));
         if (bits <= 6) return value;
         const int shift = bits - 6;
         return static_cast<std::size_t>(shift) * 32 + (value >> shift);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -84,6 +84,7 @@
         (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "mothring_lab").string();
     words.insert(words.begin(), program);
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (std::string& word : words) argv.push_back(word.data());
     argv.push_back(nullptr);
     ::execv(program.c_str(), argv.data());
--- a/src/node/options.cpp
+++ b/src/node/options.cpp
@@ -26,7 +26,7 @@
 std::optional<Endpoint> address(TomlTable& table, const std::string& key) {
     const auto text = table.text(key);
     if (!text) return std::nullopt;
-    const auto endpoint = endpoint_of<Endpoint>(*text);
+    auto endpoint = endpoint_of<Endpoint>(*text);
     if (!endpoint) table.fail(key, "is not ADDRESS:PORT");
     return endpoint;
 }
@@ -99,10 +99,10 @@
         for (TomlTable& rule : affinity->tables("rules")) {
             const auto of = rule.text("class"), key = rule.text("key");
             if (!of) rule.fail("class", "is missing");
-            constexpr std::string_view header = "header:";
-            if (!key || (*key != "path" && (!key->starts_with(header) || key->size() == header.size())))
+            constexpr std::string_view kHeader = "header:";
+            if (!key || (*key != "path" && (!key->starts_with(kHeader) || key->size() == kHeader.size())))
                 rule.fail("key", "expects \"path\" or \"header:NAME\"");
-            options.affinity.push_back({*of, *key == "path" ? "" : key->substr(header.size())});
+            options.affinity.push_back({*of, *key == "path" ? "" : key->substr(kHeader.size())});
             rule.done();
         }
         affinity->done();
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -104,8 +104,8 @@
         bool listed = false;
     };
 
-    Instance(std::string name_, Site site_, std::uint64_t seed)
-        : name(std::move(name_)), site(std::move(site_)), balancer(site.settings, seed) {}
+    Instance(std::string its_name, Site its_site, std::uint64_t seed)
+        : name(std::move(its_name)), site(std::move(its_site)), balancer(site.settings, seed) {}
 
     ServerId server(const std::string& server_name) {
         const auto [at, fresh] = server_ids.try_emplace(server_name, next_server);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -165,7 +165,7 @@
             start(replaced(config_json(agent.address(), list_json(1, true, {{"s-a", server.address()}}),
                                        "1024", text(listen)),
                            "\"future\":[1]", "\"operator\":\"" + text(operators) + "\"")));
-        const Process process{children.size() - 1, operators};
+        Process process{children.size() - 1, operators};
         run_until(io, [&] { return status(process, "/ready") == 200; });
         return process;
     }
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -107,6 +107,7 @@
 
     std::vector<RequestId> burst(int count, Millis time_left = 1000, bool repeat = false) {
         std::vector<RequestId> ids;
+        ids.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) ids.push_back(request(0, time_left, repeat));
         return ids;
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -146,7 +146,7 @@
 // ---- One temptation each --------------------------------------------------------------------------------
 
 Rig three(RequestClass kind, std::uint64_t seed = 1) {
-    Rig rig(make_settings({kind}), seed);
+    Rig rig(make_settings({std::move(kind)}), seed);
     rig.list(ListKind::full, make_servers(3));
     return rig;
 }
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -133,7 +133,7 @@
 // More at a time than there is memory for, to readers that take nothing: the servers are not read further.
 TEST_F(Stream, SlowReadersHoldBackTheServersAndMemoryStaysBounded) {
     start_raw("8");  // of which 2 MB for bodies in passing
-    constexpr std::size_t count = 24, size = 32 << 20;
+    const std::size_t count = 24, size = 32 << 20;
     std::list<RawPeer> readers;
     for (std::size_t i = 0; i < count; ++i) {
         RawPeer& reader = readers.emplace_back(io, sidecar->address());
