--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -41,7 +41,7 @@
 public:
     Call(asio::io_context& io, const Tcp::endpoint& address) : address_(address), socket_(io), timer_(io) {}
 
-    using Done = std::function<void(Answer answer)>;
+    using Done = std::function<void(const Answer& answer)>;
     // `late`: called once if there is no answer by then; the call stays out.
     void get(const std::string& target, Millis patience, Done done, std::function<void()> late) {
         done_ = std::move(done);
@@ -116,7 +116,7 @@
         answer.why = std::move(why);
         answer.failure = failure;
         answer.retry_after = retry_after;
-        done(std::move(answer));
+        done(answer);
     }
     Millis age() const { return millis(Steady::now() - since_); }
 
@@ -175,8 +175,7 @@
     if (!whole_)
         target += "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(kHold));
     watch_->get(
-        target, kHold + kLate,
-        [this, call = watch_.get()](Answer answer) { finished(*call, std::move(answer)); },
+        target, kHold + kLate, [this, call = watch_.get()](const Answer& answer) { finished(*call, answer); },
         [this, call = watch_.get()] { overdue(*call); });
 }
 
@@ -201,7 +200,7 @@
     watch(true);
 }
 
-void Discovery::finished(const Call& call, Answer answer) {
+void Discovery::finished(const Call& call, const Answer& answer) {
     const auto& [body, said, failure, retry_after] = answer;
     const bool late = &call == late_.get();
     const auto since = call.since();
@@ -246,7 +245,7 @@
     if (active_) begin();  // before anything else: the next watch is due
     const bool again = std::exchange(told_, false);
     if (again) log(spdlog::level::info, "discovery.answers", {{"version", version_}});
-    if (list->full || !list->members.empty() || again) callbacks_.changed(std::move(*list));
+    if (list->full || !list->members.empty() || again) callbacks_.changed(*list);
 }
 
 void Discovery::failed(const std::string& why, ListFailure kind, std::optional<Millis> retry_after) {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -23,7 +23,8 @@
         std::optional<Millis> retry_after;  // what discovery asks for, if anything
     };
     struct Callbacks {
-        std::function<void(MemberList)> changed;  // also without entries: the first answer after a failure
+        std::function<void(const MemberList& changes)>
+            changed;  // also without entries: the first answer after a failure
         // Only where the watch does not go on by itself.
         std::function<void(const Failure& failure)> failed;
     };
@@ -58,7 +59,7 @@
     void begin();
     void overdue(const Call& call);
     void told_by(Steady::time_point at);
-    void finished(const Call& call, Answer answer);
+    void finished(const Call& call, const Answer& answer);
     void failed(const std::string& why, ListFailure kind, std::optional<Millis> retry_after = {});
     static void drop(std::shared_ptr<Call>& call);
 
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -95,7 +95,7 @@
     discovery_.emplace(
         io, config_.discovery, config_.known.version, !asked, config_.drain_grace,
         Discovery::Callbacks{
-            [this](MemberList changes) {
+            [this](const MemberList& changes) {
                 list(changes.full ? ListKind::full : ListKind::incremental, changes);
             },
             [this](const Discovery::Failure& failure) {
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -48,9 +48,9 @@
 // it.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
 public:
-    Connection(Upstream& owner, ServerId server_, std::uint64_t life_)
-        : server(server_),
-          life(life_),
+    Connection(Upstream& owner, ServerId to, std::uint64_t in_life)
+        : server(to),
+          life(in_life),
           owner_(&owner),
           stats_(owner.stats_),
           socket_(owner.io_),
@@ -467,7 +467,7 @@
     const auto rested = std::chrono::steady_clock::now() - span(limits_.rest);
     for (std::size_t i = server.idle.size(); i > 0;
          --i) {  // each closed one leaves the others in their order
-        const ConnectionPtr connection = server.idle[i - 1];
+        ConnectionPtr connection = server.idle[i - 1];
         if (connection->idle_since() > rested) continue;
         if (!connection->fresh(limits_.idle)) {
             connection->close();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -205,7 +205,7 @@
     Tcp::socket rested() {
         Tcp::socket socket(io);
         socket.connect(sidecar->address());
-        asio::write(socket, asio::buffer(request("listen", "id-" + std::to_string(++rested_))));
+        asio::write(socket, asio::buffer(request("listen", "id-" + std::to_string(++requests_sent))));
         until([&] { return socket.available() > 0; });
         return socket;
     }
@@ -223,7 +223,7 @@
         EXPECT_EQ(error, asio::error::eof);
         EXPECT_NE(all.find("served"), std::string::npos);
     }
-    int rested_ = 0;
+    int requests_sent = 0;
 };
 
 // A request crosses the close of a resting connection: our end goes first and is not a reset, which could
--- a/tests/discovery_load_test.cpp
+++ b/tests/discovery_load_test.cpp
@@ -83,7 +83,7 @@
 class Fleet {
 public:
     Fleet(std::size_t size, OverloadedDiscovery discovery, std::uint64_t first_seed = 1)
-        : discovery_(std::move(discovery)) {
+        : discovery_(discovery) {
         Settings settings = make_settings();
         settings.list_on_request = true;
         settings.siblings = static_cast<std::uint32_t>(size);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -488,8 +488,9 @@
     const Udp::endpoint any(asio::ip::address_v4::loopback(), 0);
     Udp::socket one(io, any), stranger(io, any);
     std::vector<std::pair<std::uint32_t, std::vector<std::uint8_t>>> got;
-    Peers two(io, any, {one.local_endpoint()}, std::nullopt,
-              [&](std::uint32_t from, std::vector<std::uint8_t> bytes) { got.emplace_back(from, bytes); });
+    Peers two(
+        io, any, {one.local_endpoint()}, std::nullopt,
+        [&](std::uint32_t from, const std::vector<std::uint8_t>& bytes) { got.emplace_back(from, bytes); });
     stranger.send_to(asio::buffer("hello", 5), two.address());
     one.send_to(asio::buffer(std::string(257, 'x')), two.address());
     one.send_to(asio::buffer(std::string(256, 'x')), two.address());
