Past the list's bound a removed server is tried where nobody else is listed

Found by rereading: with no trials past the bound, a list of which all servers are out of the pool would serve no one until discovery answers again. The new test fails without the change (nobody was asked), and the policy's 158 tests pass with it.

--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -323,7 +323,9 @@
     // ---- Pick -------------------------------------------------------------------------------------------
 
     Server* due_trial(const Request& r) {
-        if (now >= list_stale_at) return nullptr;
+        // Past the list's bound a trial may go to one that has left: only where nobody else is there.
+        const auto is_live = [](const Server* s) { return s->standing == Standing::live; };
+        if (now >= list_stale_at && std::any_of(fleet.begin(), fleet.end(), is_live)) return nullptr;
         for (const ServerId id : ejected)
             if (Server& s = servers.at(id); now >= s.backoff_until && may_send(r, s)) return &s;
         return nullptr;
--- a/tests/stale_list_test.cpp
+++ b/tests/stale_list_test.cpp
@@ -146,5 +146,16 @@
     serve_for(1000);
 }
 
+// Only the suspect is left on the list, and it is out of the pool: its trial is better than serving no one.
+TEST_F(StaleList, OnlyRemovedServersListed_pastBound_areTried) {
+    suspect_fails(Outcome::refused_connection);
+    ASSERT_EQ(rig.removals(), 1);
+    rig.list(ListKind::full, make_servers(1));
+    begin_failing();
+    rig.now = failing_since + kBound + 10000;
+    turn_away();
+    EXPECT_GT(serve_for(1000), 0);
+}
+
 }  // namespace
 }  // namespace mothring::test
