A slow server's connection carries the next request at once, unless a second answer may come

The rest of 10 ms after each answer is suspected to cost service: 14 in 100 reuses came within it, and each of those takes another connection or opens one. Ruled out: every server at once, failing what comes within the 10 ms. One that answers within them would lose a genuine answer at most early reuses. Also ruled out: to judge by the time at which bytes are read. A second answer that came in time but was read late was then passed on (the test for it fails with that); only a look after the rest that finds nothing settles it. What comes before the rest is over ends as severed, and its connection is closed. That, one quicker answer, or bytes nobody asked for make the server's connections rest until it restarts or is forgotten. Probes take rested connections only and tell nothing of the pace. A rested connection still goes first. Price: at most the requests out on early reuses when a server first answers within the rest, or is read too late.

--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,4 +1,6 @@
 // How each exchange with a server ends, by the protocol's table, and which connection it is given.
+#include <thread>
+
 #include "net_rig.hpp"
 
 namespace mothring::node::test {
@@ -219,6 +221,168 @@
     EXPECT_EQ(server.connections.at(0)->requests, 1u);
 }
 
+// A server that answers when told to, with a rest so long that no machine is too slow to be within it.
+struct ReuseTest : UpstreamTest {
+    static constexpr std::chrono::milliseconds kRest{200}, kSlow{2 * kRest + std::chrono::milliseconds(1)};
+    static constexpr std::size_t kSlowAnswers = 8;
+    ScriptedServer server{io, [](const auto&) { return Reply{}; }};
+
+    ReuseTest() {
+        make({250, 14000, 512, 50, static_cast<Millis>(kRest.count())});
+        upstream->set_server(kServer, server.endpoint(), 0);
+    }
+    std::size_t newest() const { return server.connections.size() - 1; }
+    void arrive(std::size_t count) {
+        const std::size_t before = server.requests.size();
+        for (std::size_t i = 0; i < count; ++i) start();
+        until([&] { return server.requests.size() == before + count; });
+    }
+    void answer(std::size_t connection, const std::string& body) {
+        const std::size_t before = ends.size();
+        server.send(connection, response("200 OK", body));
+        until([&] { return ends.size() > before; });
+    }
+    // A request on a connection of its own, and its answer after that time: it has just fallen idle.
+    void answer_on_a_new_one(std::chrono::milliseconds after) {
+        upstream->close_idle(kServer);
+        arrive(1);
+        let_rest(io, after);
+        answer(newest(), "first");
+        EXPECT_EQ(ends.back().response.body(), "first");
+    }
+    void know_it_slow(std::size_t answers = kSlowAnswers) {
+        upstream->close_idle(kServer);
+        const std::size_t first = server.connections.size();
+        arrive(answers);
+        let_rest(io, kSlow);
+        for (std::size_t i = 0; i < answers; ++i) answer(first + i, "slow");
+    }
+    // Whether the next request goes out on the connection that has just fallen idle; it is answered slowly.
+    bool reuses_at_once() {
+        const std::size_t opened = server.connections.size();
+        arrive(1);
+        let_rest(io, kSlow);
+        answer(newest(), "the next");
+        EXPECT_EQ(ends.back().outcome, Outcome::completed);
+        EXPECT_EQ(ends.back().response.body(), "the next");
+        return server.connections.size() == opened;
+    }
+    // A second answer comes right after the next request went out at once on the same connection.
+    void second_answer_crosses(bool held_up) {
+        know_it_slow();
+        answer_on_a_new_one(kSlow);
+        arrive(1);
+        ASSERT_EQ(server.connections.at(newest())->requests, 2u) << "used at once";
+        server.send(newest(), response("200 OK", "second to the first"));
+        if (held_up) std::this_thread::sleep_for(kRest);  // it is read after the rest
+        until([&] { return ends.size() == kSlowAnswers + 2; });
+        EXPECT_EQ(ends.back().outcome, Outcome::severed) << "the request may have run";
+        EXPECT_EQ(ends.back().response.body(), "");
+        until([&] { return server.connections.at(newest())->ended; });
+    }
+};
+
+TEST_F(ReuseTest, ASlowServersConnectionIsUsedAtOnce) {
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    EXPECT_TRUE(reuses_at_once());
+    EXPECT_TRUE(reuses_at_once());
+}
+
+TEST_F(ReuseTest, AFewSlowAnswersAreNotEnough) {
+    know_it_slow(kSlowAnswers - 2);
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once());
+}
+
+TEST_F(ReuseTest, AQuickServersConnectionRests) {
+    know_it_slow();
+    answer_on_a_new_one(std::chrono::milliseconds(0));
+    EXPECT_FALSE(reuses_at_once());
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once()) << "once quick, it may be so again";
+}
+
+TEST_F(ReuseTest, AProbeIsNotSentAtOnceNorTellsOfTheServersPace) {
+    const auto probe = [&] {
+        const std::size_t before = server.requests.size(), ended = ends.size();
+        Upstream::Request ping;
+        ping.attempt = false;
+        ping.message.method(http::verb::get);
+        ping.message.target("/ping");
+        upstream->start(kServer, std::move(ping), [this](Outcome outcome, Upstream::Response response) {
+            ends.push_back({outcome, std::move(response)});
+        });
+        until([&] { return server.requests.size() > before; });
+        server.send(newest(), response("200 OK"));
+        until([&] { return ends.size() > ended; });
+        EXPECT_EQ(ends.back().outcome, Outcome::completed);
+    };
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    const std::size_t opened = server.connections.size();
+    probe();
+    EXPECT_EQ(server.connections.size(), opened + 1);
+    answer_on_a_new_one(kSlow);
+    EXPECT_TRUE(reuses_at_once());
+}
+
+TEST_F(ReuseTest, ASecondAnswerIsNotTakenForThatOfARequestSentAtOnce) { second_answer_crosses(false); }
+
+TEST_F(ReuseTest, ASecondAnswerThatIsReadLateIsNotTakenEither) { second_answer_crosses(true); }
+
+TEST_F(ReuseTest, AServerThatSentASecondAnswerRestsFromThenOn) {
+    second_answer_crosses(false);
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    const std::size_t first = newest();
+    arrive(1);
+    ASSERT_EQ(newest(), first + 1);
+    server.send(first, response("200 OK", "second to the first"));
+    let_rest(io, kSlow);
+    answer(newest(), "the next");
+    EXPECT_EQ(ends.back().response.body(), "the next");
+    EXPECT_TRUE(server.connections.at(first)->ended);
+}
+
+TEST_F(ReuseTest, UnaskedBytesOnAnIdleConnectionMakeTheServerRest) {
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    server.send(newest(), response("200 OK", "unasked"));
+    until([&] { return server.connections.at(newest())->ended; });
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once());
+}
+
+TEST_F(ReuseTest, UnaskedBytesRightBehindAnAnswerMakeTheServerRest) {
+    know_it_slow();
+    arrive(1);
+    let_rest(io, kSlow);
+    const std::size_t before = ends.size();
+    for (const auto& c : server.connections)  // whichever carries it
+        if (c->requests == 2)
+            asio::write(c->socket, asio::buffer(response("200 OK", "asked") + response("200 OK", "unasked")));
+    until([&] { return ends.size() > before; });
+    EXPECT_EQ(ends.back().response.body(), "asked");
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once());
+}
+
+TEST_F(ReuseTest, WhatAServerDidIsForgottenWithItsLife) {
+    second_answer_crosses(false);
+    upstream->set_server(kServer, server.endpoint(), 1);
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once()) << "not known yet";
+    know_it_slow();
+    answer_on_a_new_one(kSlow);
+    EXPECT_TRUE(reuses_at_once());
+    upstream->forget_server(kServer);
+    upstream->set_server(kServer, server.endpoint(), 1);
+    answer_on_a_new_one(kSlow);
+    EXPECT_FALSE(reuses_at_once()) << "not known yet";
+}
+
 TEST_F(UpstreamTest, AnIdleConnectionIsClosedBeforeTheServerWould) {
     make({250, 20, 8});
     ScriptedServer server(io, [](const auto&) { return Reply{response("200 OK")}; });
