--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -88,22 +88,24 @@
         exchange_.emplace(
             Exchange{id, std::make_shared<Request>(std::move(request)), std::move(done), std::move(begun)});
         if (connected_) {
-            if (settled_)
-                expire_never();
-            else
-                expire_at(since_ + span(owner_->limits_.rest));
+            expire_never();
             write();
         }
     }
 
     void rest(Millis limit) {
         since_ = std::chrono::steady_clock::now();
-        settled_ = false;
         expire_after(limit);
         wait_readable();
     }
     // Nothing has come since it fell idle, not even its end, and it has not stood for too long.
-    bool fresh(Millis limit) { return quiet() && std::chrono::steady_clock::now() - since_ < span(limit); }
+    bool fresh(Millis limit) {
+        char byte;
+        error_code error;
+        socket_.non_blocking(true, error);
+        socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+        return error == asio::error::would_block && std::chrono::steady_clock::now() - since_ < span(limit);
+    }
     std::chrono::steady_clock::time_point idle_since() const { return since_; }
 
     bool begun() const { return begun_; }
@@ -139,9 +141,8 @@
     };
     using Parser = http::response_parser<http::buffer_body>;
 
-    void expire_after(Millis length) { expire_at(std::chrono::steady_clock::now() + span(length)); }
-    void expire_at(std::chrono::steady_clock::time_point when) {
-        timer_.expires_at(when);
+    void expire_after(Millis length) {
+        timer_.expires_after(span(length));
         timer_.async_wait([weak = weak_from_this(), due = timer_.expiry()](error_code cancelled) {
             const auto self = weak.lock();
             if (cancelled || !self || self->timer_.expiry() != due || !self->owner_) return;
@@ -149,8 +150,6 @@
                 self->fail(false);
             else if (!self->exchange_)
                 self->close();
-            else if (!self->settled_)
-                self->quiet();
             else if (self->streaming_)
                 self->broke(asio::error::timed_out);
             else if (self->pipe_)
@@ -159,29 +158,11 @@
     }
     void expire_never() { timer_.expires_at(asio::steady_timer::time_point::max()); }
 
-    // Whether nothing has come since it fell idle, not even its end. Only a look after the rest that finds
-    // nothing settles whose the next bytes are: the clock at which they are read tells nothing of when they
-    // arrived.
-    bool quiet() {
-        const auto before = std::chrono::steady_clock::now();
-        char byte;
-        error_code error;
-        socket_.non_blocking(true, error);
-        if (socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error) > 0) sent_surplus();
-        const bool nothing = error == asio::error::would_block;
-        settled_ = nothing && before - since_ >= span(owner_->limits_.rest);
-        return nothing;
-    }
-    void sent_surplus() {
-        if (Server* const at = owner_->server_of(*this)) at->reuse.sent_surplus();
-    }
-
     // ---- The request ----
 
     void write() {
         writing_ = begun_ = true;
-        written_ = last_ = heard_ = false;
-        sent_ = std::chrono::steady_clock::now();
+        written_ = last_ = false;
         const auto request = exchange_->request;
         auto& message = request->message;
         if (logs(spdlog::level::debug))
@@ -220,7 +201,6 @@
         last_ = body.whole();
         if (bytes.empty() && !last_) return;
         writing_ = true;
-        sent_ = std::chrono::steady_clock::now();
         const asio::const_buffer out(bytes.data(), bytes.size());
         const auto done = [self = shared_from_this(), request, count = bytes.size()](
                               error_code failed, std::size_t) { self->wrote(failed, *request, count); };
@@ -253,9 +233,8 @@
         socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
             self->waiting_ = false;
             if (!self->owner_) return;
-            if (!failed && self->exchange_) return self->feed();
-            if (!failed) self->quiet();
-            self->close();  // its end, or what nobody asked for
+            if (failed || !self->exchange_) return self->close();  // its end, or what nobody asked for
+            self->feed();
         });
     }
 
@@ -285,13 +264,6 @@
             return false;
         }
         if (error) return ended_by(error), false;
-        if (!settled_) {  // may be a second answer to the request before
-            sent_surplus();
-            return broke(make_error_code(boost::system::errc::bad_message)), false;
-        }
-        if (!std::exchange(heard_, true) && exchange_->request->attempt)
-            if (Server* const at = owner_->server_of(*this))
-                at->reuse.answered_after(std::chrono::steady_clock::now() - sent_, owner_->limits_.rest);
         buffer_.commit(count);
         if (streaming_) expire_after(kSilence);
         return true;
@@ -402,9 +374,7 @@
     }
 
     void answered() {
-        const bool surplus = parser_->is_done() && buffer_.size() > 0;
-        if (surplus) sent_surplus();
-        const bool keep = parser_->is_done() && parser_->keep_alive() && written_ && !surplus;
+        const bool keep = parser_->is_done() && parser_->keep_alive() && written_ && buffer_.size() == 0;
         Response response(parser_->get().result(), 11);
         const Outcome outcome = outcome_of(parser_->get());
         if (!streaming_) {
@@ -456,9 +426,7 @@
     std::optional<Parser> parser_;
     std::shared_ptr<Pipe> pipe_;  // of the answer's body
     std::optional<Exchange> exchange_;
-    std::chrono::steady_clock::time_point since_, sent_;  // idle; the request's last part
-    bool settled_ = true;                                 // what comes can't be a second answer
-    bool heard_ = false;                                  // the answer has begun
+    std::chrono::steady_clock::time_point since_;
     bool connected_ = false, waiting_ = false, streaming_ = false, begun_ = false;
     bool writing_ = false, last_ = false, written_ = false, broken_ = false;  // the request
 };
@@ -478,7 +446,6 @@
     server.address = address;
     server.started = started;
     server.life = next_life_++;
-    server.reuse = {};
 }
 
 void Upstream::forget_server(ServerId id) {
@@ -496,28 +463,19 @@
     for (const ConnectionPtr& connection : std::exchange(server.idle, {})) connection->close();
 }
 
-Upstream::Server* Upstream::server_of(const Connection& connection) {
-    const auto at = servers_.find(connection.server);
-    return at != servers_.end() && at->second.life == connection.life ? &at->second : nullptr;
-}
-
-// Probes are answered at once by slow servers too: they wait for one that has rested, or open one.
-Upstream::ConnectionPtr Upstream::take_idle(Server& server, bool attempt) {
-    const auto take = [&](std::size_t i) -> ConnectionPtr {
-        ConnectionPtr connection = server.idle[i];
-        if (!connection->fresh(limits_.idle)) return connection->close(), nullptr;
-        server.idle.erase(server.idle.begin() + static_cast<std::ptrdiff_t>(i));
-        return connection;
-    };
+Upstream::ConnectionPtr Upstream::take_idle(Server& server) {
     const auto rested = std::chrono::steady_clock::now() - span(limits_.rest);
     for (std::size_t i = server.idle.size(); i > 0;
          --i) {  // each closed one leaves the others in their order
-        if (server.idle[i - 1]->idle_since() > rested) continue;
-        if (ConnectionPtr connection = take(i - 1)) return connection;
+        ConnectionPtr connection = server.idle[i - 1];
+        if (connection->idle_since() > rested) continue;
+        if (!connection->fresh(limits_.idle)) {
+            connection->close();
+            continue;
+        }
+        server.idle.erase(server.idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        return connection;
     }
-    // None has rested: the one that has rested longest.
-    while (attempt && server.reuse.at_once() && !server.idle.empty())
-        if (ConnectionPtr connection = take(0)) return connection;
     return nullptr;
 }
 
@@ -541,8 +499,7 @@
 ExchangeId Upstream::start(ServerId id, Request request, Done done, Begun begun) {
     const ExchangeId exchange = next_exchange_++;
     const auto server = servers_.find(id);
-    ConnectionPtr connection =
-        server == servers_.end() ? nullptr : take_idle(server->second, request.attempt);
+    ConnectionPtr connection = server == servers_.end() ? nullptr : take_idle(server->second);
     const bool fresh = !connection;
     if (fresh) {
         if (server == servers_.end() || !make_room()) {
@@ -577,9 +534,9 @@
 }
 
 void Upstream::reuse(const ConnectionPtr& connection) {
-    Server* const server = server_of(*connection);
-    if (!server) return connection->close();
-    server->idle.push_back(connection);
+    const auto server = servers_.find(connection->server);
+    if (server == servers_.end() || server->second.life != connection->life) return connection->close();
+    server->second.idle.push_back(connection);
     connection->rest(limits_.idle);
 }
 
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,7 +11,6 @@
 #include <vector>
 
 #include "mothring/balancer.hpp"
-#include "node/clock.hpp"
 #include "node/config.hpp"
 #include "node/pipe.hpp"
 
@@ -20,40 +18,6 @@
 
 using ExchangeId = std::uint64_t;
 
-// Whether a connection to a server may carry the next request right after an answer, or has to rest first.
-//
-// A server may send a second answer that nobody asked for, 1 to 4 ms after the first, and nothing in it tells
-// whose it is. So what arrives before the rest R (10 ms) since the last answer is over is in doubt and never
-// passed on. A request that goes out d < R after that answer loses its own answer to the doubt only if that
-// takes less than R - d. A server that answers within 10 ms would lose one at most early reuses, which is
-// worse than another connection. So only a server known to be slow gets them:
-// - At least 8 of its answers have begun, each of them 2 R (20 ms) or later after its request. If the next
-//   one is drawn like those, it is the quickest of the 9 in one case of 9, and is lost only if it takes half
-//   of the least allowed: one in 400, where times are lognormal with sigma 0.5 and the quickest of the 8 took
-//   20 ms (median 41 ms, ln(41 / 10) / 0.5 = 2.8 sigma).
-// - After a single quicker answer, in doubt or not, its connections rest for good. So no more are ever lost
-//   than were out on them at that moment; nor are more of those that only this process read too late.
-// So do those of a server that has sent bytes nobody asked for.
-class ReusePolicy {
-public:
-    // An answer to an attempt began so long after the last of its request had begun to go out.
-    void answered_after(std::chrono::steady_clock::duration took, Millis rest) {
-        if (took < span(kRestsToBeSlow * rest))
-            must_rest_ = true;
-        else if (slow_answers_ < kSlowAnswers)
-            ++slow_answers_;
-    }
-    void sent_surplus() { must_rest_ = true; }
-    bool at_once() const { return !must_rest_ && slow_answers_ == kSlowAnswers; }
-
-private:
-    static constexpr int kSlowAnswers = 8;
-    static constexpr double kRestsToBeSlow = 2;
-
-    bool must_rest_ = false;
-    int slow_answers_ = 0;
-};
-
 class Upstream {
 public:
     struct Request {
@@ -77,8 +41,8 @@
         Millis idle = 14000;            // a connection idle for longer is not used any more
         std::size_t connections = 512;  // open at once, to all servers
         Millis gather = 50;             // an answer of unknown length is kept for a retry at most so long
-        // What comes on a connection so soon after an answer may be a second one to the same request. Where
-        // ReusePolicy does not allow otherwise, it rests so long before it is used again.
+        // A connection rests this long after an answer before it is used again: a second one that nobody
+        // asked for comes some milliseconds late, and nothing in it tells whose it is.
         Millis rest = 10;
     };
 
@@ -112,12 +76,9 @@
         Millis started = 0;
         std::uint64_t life = 0;
         std::vector<ConnectionPtr> idle;  // the most recently used last
-        ReusePolicy reuse;
     };
 
-    // Its server in the life it was opened to, or none.
-    Server* server_of(const Connection& connection);
-    ConnectionPtr take_idle(Server& server, bool attempt);
+    ConnectionPtr take_idle(Server& server);
     bool make_room();
     void drop_idle(Server& server);
     void ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response);
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -32,9 +32,9 @@
     }
 }
 
-// Until so much time has passed; as it stands, until a connection that fell idle before has rested.
-inline void let_rest(asio::io_context& io, std::chrono::milliseconds length = std::chrono::milliseconds(11)) {
-    const auto rested = std::chrono::steady_clock::now() + length;
+// Until a connection that fell idle before may be used again.
+inline void let_rest(asio::io_context& io) {
+    const auto rested = std::chrono::steady_clock::now() + std::chrono::milliseconds(11);
     run_until(io, [&] { return std::chrono::steady_clock::now() > rested; });
 }
 
