A wait for discovery stays within 8 s again where the settings give no limit

Found by rereading: the backoff's own class kept the doubling to 8 s but not the limit after its jitter, so that where neither the bound nor ask_within is known a wait could be 12 s. One constant now stands for the limit and for the ceiling past the bound. The new test fails without the change; the policy's 159 tests, the formatter and the linter on these files pass with it.

--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -193,10 +193,9 @@
 
     void on(const ServerList& list) {
         if (list.kind == ListKind::failed) {
-            const Millis wait = discovery_retry.wait_after(list, now, random);
             // Who has not asked for ask_within counts as told of every drain (rule 3).
-            set_timer(now + (settings.ask_within > 0 ? std::min(wait, settings.ask_within) : wait),
-                      std::nullopt);
+            const Millis most = settings.ask_within > 0 ? settings.ask_within : DiscoveryRetry::kLongestWait;
+            set_timer(now + std::min(discovery_retry.wait_after(list, now, random), most), std::nullopt);
             if (list.told_within) list_stale_at = now + *list.told_within;
             return;
         }
--- a/src/policy/discovery_retry.hpp
+++ b/src/policy/discovery_retry.hpp
@@ -18,10 +18,13 @@
 
 class DiscoveryRetry {
 public:
+    // Of any wait, where the settings give no other limit.
+    static constexpr Millis kLongestWait = 8000;
+
     // `fleet`: how many sidecars share discovery, this one included.
     explicit DiscoveryRetry(std::uint32_t fleet)
         : least_ceiling_(std::min(kCeilingPerSidecar * fleet, kCeiling)),
-          ceiling_limit_(std::clamp(kLimitPerSidecar * fleet, kCeiling, kLongestCeiling)) {}
+          ceiling_limit_(std::clamp(kLimitPerSidecar * fleet, kCeiling, kLongestWait)) {}
 
     // A call has been answered: the next failure is the first of a new run.
     void answered() { failing_since_.reset(), unbounded_wait_ = kFirstUnboundedWait; }
@@ -53,16 +56,15 @@
     // the one after it, and 2 s for its turn.
     static constexpr Millis kCeiling = 1500;
     // Past the bound N sidecars can not all be answered within it, so that calls are spread over a quarter of
-    // the time that has passed; the ceiling leaves 1.5 s at 6 s. At its limit N sidecars make N / 6 calls a
-    // second, and 8 s and 2 s for the turn are 10 s until the last is back after an overload's end.
-    static constexpr Millis kLongestCeiling = 8000;
+    // the time that has passed; the ceiling leaves 1.5 s at 6 s. At kLongestWait N sidecars make N / 6 calls
+    // a second, and 8 s and 2 s for the turn are 10 s until the last is back after an overload's end.
     static constexpr double kShareOfFailing = 0.25;
     // A few sidecars overload nothing: a fleet makes up to 22 calls a second before they are thinned out, and
     // of how ever few it is they never come more seldom than about three a second.
     static constexpr Millis kCeilingPerSidecar = 60, kLimitPerSidecar = 400;
     static constexpr Millis kSoon = 300, kReconnect = 500;
     // Where the bound is not known: as it was, doubled with each failure.
-    static constexpr Millis kFirstUnboundedWait = 1000, kLongestUnboundedWait = 8000;
+    static constexpr Millis kFirstUnboundedWait = 1000;
 
     // From half to all of a wait, evenly.
     static double jitter(Random& random) { return 0.5 + random.unit() / 2; }
@@ -72,7 +74,7 @@
     }
     Millis without_bound(Random& random) {
         const Millis wait = unbounded_wait_ * (0.5 + random.unit());
-        unbounded_wait_ = std::min(2 * unbounded_wait_, kLongestUnboundedWait);
+        unbounded_wait_ = std::min(2 * unbounded_wait_, kLongestWait);
         return wait;
     }
 
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1010,6 +1010,19 @@
         EXPECT_LE(waits.after(6000, ListFailure::unreachable), 500) << "that costs discovery nothing";
 }
 
+// Nobody says by when a call has to be renewed: it is all the same within 8 s.
+TEST(Lists, NoBoundKnown_waitsStayWithinEightSeconds) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Rig rig(asking_settings(0), seed);
+        rig.give(Started{});
+        for (int i = 0; i < 20; ++i) {
+            rig.timers.clear();
+            rig.list(ListKind::failed, {});
+            EXPECT_LE(rig.timers.begin()->first - rig.now, 8000);
+        }
+    }
+}
+
 TEST(Lists, RetryAfter_isKeptToWithinReason) {
     Waits waits(350);
     EXPECT_GE(waits.after(4000, ListFailure::turned_away, 3000), 3000);
