Tests: one guard for the limit on descriptors and one way to start a sidecar that asks

The lowering of RLIMIT_NOFILE stood in crossing_test.cpp and sidecar_test.cpp; the guard in the rig also restores it where an assertion ends the test. Asking's configuration was written out again beside start_asking.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,7 +1,6 @@
 // Where two things meet between two lines of the program, in the order that the test forces: a peer holds a
 // byte, a close or a connection until an event, then lets go.
 #include <poll.h>
-#include <sys/resource.h>
 
 #include "net_rig.hpp"
 
@@ -327,16 +326,12 @@
     // Nothing is under way while there are no descriptors: a sanitizer's checks of types need some.
     until([&] { return nothing_out(); });
     TestClient& queued = client();
-    rlimit old{};
-    getrlimit(RLIMIT_NOFILE, &old);
-    rlimit low = old;
-    low.rlim_cur = 3;
-    setrlimit(RLIMIT_NOFILE, &low);
+    std::optional<NoDescriptors> no_descriptors(std::in_place);
     queued.send(request("listen", "id-queued"));
     drain();
     const auto over = Steady::now() + std::chrono::milliseconds(700);
     until([&] { return Steady::now() > over; });
-    setrlimit(RLIMIT_NOFILE, &old);
+    no_descriptors.reset();
     until([&] { return queued.ended; });
     ASSERT_EQ(queued.answers.size(), 1u);
     EXPECT_EQ(queued.answers[0].result_int(), 200u);
@@ -348,8 +343,9 @@
 struct Asking : Crossing {
     using Steady = std::chrono::steady_clock;
     std::uint64_t calls() const { return sidecar->metrics().list.calls; }
-    void start_asking() {
-        const std::string text = config_json(agent.address(), list_json(41, true, {{"s-a", a.address()}}));
+    void start_asking() { start_asking({{"s-a", a.address()}}); }
+    void start_asking(const std::vector<Listed>& known) {
+        const std::string text = config_json(agent.address(), list_json(41, true, known));
         sidecar.emplace(io, read_config(replaced(text, "\"pushed\"", "\"on_request\"")));
     }
     // The longest from one call to the next, over as many.
@@ -410,11 +406,7 @@
 // request sent to it one too many. The others are known to take new work.
 TEST_F(Asking, ServerGoneAndBackWhileTurnedAway_pastBound_getsNothingUntilListed) {
     agent.script = [](const auto&) { return Reply{response("503 Busy", "too many calls")}; };
-    sidecar.emplace(
-        io,
-        read_config(replaced(
-            config_json(agent.address(), list_json(41, true, {{"s-a", a.address()}, {"s-b", b.address()}})),
-            "\"pushed\"", "\"on_request\"")));
+    start_asking({{"s-a", a.address()}, {"s-b", b.address()}});
     const auto bound = Steady::now() + std::chrono::milliseconds(6000);
     int next = 0;
     const auto serve_until = [&](const std::function<bool()>& reached) {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -38,6 +39,23 @@
     run_until(io, [&] { return std::chrono::steady_clock::now() > rested; });
 }
 
+// While it lives, this process may open no further descriptor.
+class NoDescriptors {
+public:
+    NoDescriptors() {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        rlimit low = before_;
+        low.rlim_cur = 3;
+        setrlimit(RLIMIT_NOFILE, &low);
+    }
+    ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+    NoDescriptors(const NoDescriptors&) = delete;
+    NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+private:
+    rlimit before_{};
+};
+
 // The text with its first such part changed.
 inline std::string replaced(std::string text, const std::string& what, const std::string& by) {
     const auto at = text.find(what);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -1,5 +1,4 @@
 // The whole sidecar over loopback sockets, between a scripted client, servers and discovery.
-#include <sys/resource.h>
 
 #include "net_rig.hpp"
 
@@ -430,17 +429,13 @@
     c.send(request("listen", "id-1"));
     until([&] { return c.answers.size() == 1; });
     TestClient& waiting = client();  // in the backlog
-    rlimit old{};
-    getrlimit(RLIMIT_NOFILE, &old);
-    rlimit low = old;
-    low.rlim_cur = 3;
-    setrlimit(RLIMIT_NOFILE, &low);
+    std::optional<NoDescriptors> no_descriptors(std::in_place);
     waiting.send(request("listen", "id-2"));
     for (int turns = 0; turns < 20; ++turns) io.run_one_for(std::chrono::milliseconds(10));
     c.send(request("listen", "id-3"));  // a connection that is there still serves
     until([&] { return c.answers.size() == 2; });
     EXPECT_TRUE(waiting.answers.empty());
-    setrlimit(RLIMIT_NOFILE, &old);
+    no_descriptors.reset();
     until([&] { return waiting.answers.size() == 1; });
 }
 
