Review case 3: a long request to a server gone silent is never answered

The case shows that a request whose body stands still behind a silent scan server has no deadline, although its client has written the last byte. Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+. "$(dirname "$0")/../standins/run-case.sh"
