--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -400,6 +401,8 @@
     sidecar = ::fork();
     if (sidecar == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the case, however the case ends
+        const rlimit descriptors{static_cast<rlim_t>(sockets), static_cast<rlim_t>(sockets)};
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
         ::setenv("LB_NAME", "n1", 1);
         ::setenv("LB_LISTEN", listen.c_str(), 1);
         ::setenv("LB_DISCOVERY", at.c_str(), 1);
