--- a/review/standins/run-case.sh
+++ b/review/standins/run-case.sh
@@ -9,7 +9,7 @@
 export MOTHRING_RUN TROUBLE=${TROUBLE:-1}
 # A case may hold some thousands of connections.
 ulimit -n 8192 2>/dev/null || ulimit -n "$(ulimit -Hn)"
-folder=$(mktemp -d)
+folder=$(mktemp -d) || exit 2
 # The program and the sidecar are one process group, which ends with this script.
 set -m
 timeout -k 1 115 "$program" "$folder" "$here/record.txt" &
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -16,7 +16,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -135,7 +134,6 @@
     std::string first_line;
     std::map<std::string, std::string> fields;  // names in lower case
     std::string body;
-    bool ended_by_close = false;
 
     std::string field(const std::string& name) const {
         const auto at = fields.find(name);
@@ -272,36 +270,16 @@
     std::string zone;
     std::string kind;
     int cell = 0;
-    std::string state = "Ready";
 };
 
-/// Keeps the list and answers GET /catalog/members, with and without `from` and `hold_ms`.
+/// Answers GET /catalog/members, with and without `from` and `hold_ms`. Its list does not change once the sidecar runs.
 class Discovery {
 public:
     Discovery() : listener_([this](int socket) { serve(socket); }) {}
 
-    void add(const Server& server) { servers_.push_back(server); }
-    /// Resets the open watches; as all sidecars call again at once, discovery then has more callers than it can handle
-    /// until this is called with false: a call waits for its turn in vain and ends in 503 after kTurnMs.
-    void set_crowded(bool crowded) {
-        {
-            const std::lock_guard lock(mutex_);
-            crowded_ = crowded;
-        }
-        changed_.notify_all();
-    }
-    /// Takes a server off the list. Returns the time at which discovery had the change.
-    double remove(const std::string& id) {
-        double at = 0;
-        {
-            const std::lock_guard lock(mutex_);
-            for (Server& server : servers_)
-                if (server.id == id) server.state = "Gone";
-            ++version_;
-            at = now();
-        }
-        changed_.notify_all();
-        return at;
+    void add(const Server& server) {
+        const std::lock_guard lock(mutex_);
+        servers_.push_back(server);
     }
     std::string full_list() {
         const std::lock_guard lock(mutex_);
@@ -310,19 +288,15 @@
     int port() const { return listener_.port(); }
 
 private:
-    static constexpr int kTurnMs = 1000;  // the site's timeout_ms
-
-    // A whole list names only the servers that run; every answer here is a whole list, or an empty change.
     std::string list() const {
         std::string entries;
         for (const Server& server : servers_) {
-            if (server.state == "Gone") continue;
             entries += (entries.empty() ? "" : ",") + std::string("{\"id\":\"") + server.id + "\",\"addr\":\"127.0.0.1:" +
                        std::to_string(server.port) + "\",\"zone\":\"" + server.zone + "\",\"kind\":\"" + server.kind +
-                       "\",\"cell\":" + std::to_string(server.cell) + ",\"state\":\"" + server.state +
-                       "\",\"weight\":1.0,\"started_ms\":0}";
+                       "\",\"cell\":" + std::to_string(server.cell) +
+                       ",\"state\":\"Ready\",\"weight\":1.0,\"started_ms\":0}";
         }
-        return "{\"version\":" + std::to_string(version_) + ",\"full\":true,\"servers\":[" + entries + "]}";
+        return "{\"version\":" + std::to_string(kVersion) + ",\"full\":true,\"servers\":[" + entries + "]}";
     }
     static double parameter(const std::string& target, const std::string& name) {
         const auto at = target.find(name + "=");
@@ -335,36 +309,20 @@
             if (reader.message(request) != Read::complete) break;
             const double from = parameter(request.target(), "from");
             const double hold = std::clamp(parameter(request.target(), "hold_ms"), 0.0, 60000.0);
-            std::string answer;
-            {
-                std::unique_lock lock(mutex_);
-                const auto has_turn = [&] { return !crowded_; };
-                const bool is_handled = changed_.wait_for(lock, std::chrono::milliseconds(kTurnMs), has_turn);
-                const auto has_news = [&] { return crowded_ || static_cast<double>(version_) > from; };
-                if (is_handled) changed_.wait_for(lock, std::chrono::duration<double, std::milli>(hold), has_news);
-                if (is_handled && crowded_) {
-                    record("discovery: %s -> reset", request.target().c_str());
-                    return reset(socket);
-                }
-                if (!is_handled)
-                    answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-                else if (static_cast<double>(version_) > from)
-                    answer = ok(list());
-                else
-                    answer = ok("{\"version\":" + std::to_string(version_) + ",\"full\":false,\"servers\":[]}");
-                record("discovery: %s -> %s", request.target().c_str(),
-                       answer[9] == '5' ? "503" : answer.find("\"full\":true") == std::string::npos ? "no change" : "the whole list");
-            }
+            const bool is_watch = from >= kVersion;
+            if (is_watch) sleep_ms(hold);  // the list never changes
+            const std::string answer =
+                ok(is_watch ? "{\"version\":" + std::to_string(kVersion) + ",\"full\":false,\"servers\":[]}" : full_list());
+            record("discovery: %s -> %s", request.target().c_str(), is_watch ? "no change" : "the whole list");
             if (!send_all(socket, answer)) break;
         }
         ::close(socket);
     }
 
+    static constexpr int kVersion = 41;
+
     std::mutex mutex_;
-    std::condition_variable changed_;
     std::vector<Server> servers_;
-    long version_ = 41;
-    bool crowded_ = false;
     Listener listener_;
 };
 
