Log what the connections do when the limit keeps new ones waiting

For 20 s no request on a new connection is answered. Four causes were possible: requests that await their responses, connections that shut down gracefully, bodies that do not arrive, or no free descriptor. The log had no line that tells them apart.

The new event `connections.at_limit` (at most once a second) counts the connections by what they do. The eviction rank "needed" is split for it into shutting_down, within_body and awaits_response; none of the three is evicted, as before.

--- a/src/node/connection_limit.cpp
+++ b/src/node/connection_limit.cpp
@@ -15,9 +15,8 @@
 std::vector<ConnectionLimit::Candidate> ConnectionLimit::candidates() const {
     std::vector<Candidate> found;
     for (const ConnectionPtr& connection : connections_) {
-        if (connection->is_shutting_down()) continue;
         const EvictionRank rank = connection->eviction_rank();
-        if (rank < EvictionRank::needed) found.push_back({rank, connection->active_at(), connection});
+        if (rank <= EvictionRank::idle) found.push_back({rank, connection->active_at(), connection});
     }
     return found;
 }
@@ -29,6 +28,13 @@
     return static_cast<std::size_t>(std::ranges::count_if(connections_, is_shutting_down));
 }
 
+ConnectionLimit::RankCounts ConnectionLimit::count_by_rank() const {
+    RankCounts counts{};
+    for (const ConnectionPtr& connection : connections_)
+        ++counts.at(static_cast<std::size_t>(connection->eviction_rank()));
+    return counts;
+}
+
 bool ConnectionLimit::ensure_capacity(const std::function<bool()>& has_pending_connection) {
     const std::size_t unreserved_limit = limit_ - limit_ / kShutdownReserveDivisor;
     if (connections_.size() < unreserved_limit) return true;
--- a/src/node/connection_limit.hpp
+++ b/src/node/connection_limit.hpp
@@ -2,6 +2,7 @@
 /// The limit on open downstream connections, and which of them are evicted to keep to it.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <unordered_set>
@@ -33,6 +34,10 @@
     void set_limit(std::size_t limit, const std::function<bool()>& has_pending_connection);
     bool is_reached() const { return connections_.size() >= limit_; }
 
+    /// Number of connections with each EvictionRank.
+    using RankCounts = std::array<std::size_t, kEvictionRanks>;
+    RankCounts count_by_rank() const;
+
 private:
     struct Candidate {
         EvictionRank rank;
--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -78,7 +78,9 @@
 
 EvictionRank Connection::eviction_rank() const {
     if (state_ == State::reading_head) return EvictionRank::within_head;
-    if (state_ != State::idle) return EvictionRank::needed;
+    if (state_ == State::shutting_down) return EvictionRank::shutting_down;
+    if (state_ != State::idle && is_request_incomplete()) return EvictionRank::within_body;
+    if (state_ != State::idle) return EvictionRank::awaits_response;
     if (timeouts_.awaits_first_request()) return EvictionRank::awaits_first_request;
     const bool for_long = SteadyClock::now() - active_at_ >= net::to_duration(kLongIdleTime);
     return for_long ? EvictionRank::idle_for_long : EvictionRank::idle;
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -29,8 +30,13 @@
     idle_for_long,  // clients do not expect a connection to be kept longer than this
     within_head,
     idle,
-    needed,  // never evicted: a request awaits its response, or the connection is shutting down
+    // Those that follow are never evicted.
+    shutting_down,
+    within_body,
+    awaits_response,  // or is sending it
 };
+/// The number of values of EvictionRank.
+constexpr std::size_t kEvictionRanks = 7;
 
 /// Reads the requests of one client connection, reports them one at a time and writes their responses. It
 /// reads from the socket only as much as it has buffer space for.
--- a/src/node/downstream_listener.cpp
+++ b/src/node/downstream_listener.cpp
@@ -125,7 +125,21 @@
 }
 
 bool DownstreamListener::ensure_capacity() {
-    return limit_.ensure_capacity([this] { return has_pending_connection(); });
+    const bool has_capacity = limit_.ensure_capacity([this] { return has_pending_connection(); });
+    if (!has_capacity && has_pending_connection()) log_at_limit();
+    return has_capacity;
+}
+
+// Logs what holds the connections while new ones have to wait.
+void DownstreamListener::log_at_limit() {
+    using downstream::EvictionRank;
+    const downstream::ConnectionLimit::RankCounts counts = limit_.count_by_rank();
+    const auto count = [&counts](EvictionRank rank) { return counts.at(static_cast<std::size_t>(rank)); };
+    limit_log_.log(net::LogLevel::warn, "connections.at_limit",
+                   {{"connections", connections_.size()},
+                    {"shutting_down", count(EvictionRank::shutting_down)},
+                    {"within_body", count(EvictionRank::within_body)},
+                    {"awaiting_response", count(EvictionRank::awaits_response)}});
 }
 
 void DownstreamListener::limit_connections(std::size_t connections) {
--- a/src/node/downstream_listener.hpp
+++ b/src/node/downstream_listener.hpp
@@ -5,12 +5,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "mothring/balancer.hpp"
 #include "net/body_buffer.hpp"
+#include "net/log.hpp"
 #include "net/socket_errors.hpp"
 #include "node/connection_limit.hpp"
 #include "node/downstream_connection.hpp"
@@ -86,6 +88,7 @@
     bool accept_remaining();
     void stop_accepting();
     bool ensure_capacity();
+    void log_at_limit();
     bool has_pending_connection();
     downstream::ConnectionPtr take_request(RequestId id);
 
@@ -98,6 +101,7 @@
     Callbacks callbacks_;
     boost::asio::steady_timer accept_timer_;  // for the next attempt to accept, after a pause
     net::FailurePace accept_pace_;
+    net::RateLimitedLog limit_log_{std::chrono::seconds(1)};
     boost::asio::steady_timer drain_timer_;
     /// The connections of the requests that have no response yet.
     std::unordered_map<RequestId, downstream::ConnectionPtr> requests_;
