Evict stalled bodies and lingering shutdowns for pending connections

Cause: Connection::eviction_rank counted each connection past its head as needed. At the limit nothing could be evicted, and the listener did not accept until connections reached their time limit of 2.4 s.

Evidence: connections.at_limit showed within_body 182 to 234 of 244 connections, awaiting_response 0.

Fix: if the limit is reached and a connection is pending, connections that shut down and then those within a body may be evicted, the longest silent first. A request within its body gets a 503 before; this is truthful, as its last byte has not been forwarded and no server starts it without that. The listener waits for connections at the limit too, and retries after 20 ms if it can't accept yet. Eviction of idle clients is unchanged, and a body is never evicted without a pending connection.

Tests: CrowdAtConnectionLimit.* (3) and FinalAnswer.SlowUploadIsNotEvictedBeforeSilentOnes failed before, all four, and passed 10 of 10 after.

--- a/src/node/connection_limit.cpp
+++ b/src/node/connection_limit.cpp
@@ -12,11 +12,12 @@
 
 }  // namespace
 
-std::vector<ConnectionLimit::Candidate> ConnectionLimit::candidates() const {
+// Returns the connections up to a rank.
+std::vector<ConnectionLimit::Candidate> ConnectionLimit::candidates(EvictionRank highest) const {
     std::vector<Candidate> found;
     for (const ConnectionPtr& connection : connections_) {
         const EvictionRank rank = connection->eviction_rank();
-        if (rank <= EvictionRank::idle) found.push_back({rank, connection->active_at(), connection});
+        if (rank <= highest) found.push_back({rank, connection->active_at(), connection});
     }
     return found;
 }
@@ -38,13 +39,14 @@
 bool ConnectionLimit::ensure_capacity(const std::function<bool()>& has_pending_connection) {
     const std::size_t unreserved_limit = limit_ - limit_ / kShutdownReserveDivisor;
     if (connections_.size() < unreserved_limit) return true;
-    std::vector<Candidate> order = candidates();
+    const bool must_close_at_once = is_reached() && has_pending_connection();
+    std::vector<Candidate> order =
+        candidates(must_close_at_once ? EvictionRank::within_body : EvictionRank::idle);
     std::size_t shutting_down = shutting_down_count();
     const auto is_later = [](const Candidate& left, const Candidate& right) {
         return std::tie(left.rank, left.active_at) > std::tie(right.rank, right.active_at);
     };
     std::ranges::make_heap(order, is_later);
-    const bool must_close_at_once = is_reached() && has_pending_connection();
     const auto needs_capacity = [&] {
         return must_close_at_once ? is_reached() : connections_.size() - shutting_down >= unreserved_limit;
     };
@@ -52,7 +54,7 @@
         const ConnectionPtr connection = order.front().connection;
         if (connection->has_read_all()) {
             if (must_close_at_once)
-                connection->close();
+                connection->guarded([&] { connection->evict_at_once(); });
             else
                 connection->evict();
         }
--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -79,7 +79,7 @@
 EvictionRank Connection::eviction_rank() const {
     if (state_ == State::reading_head) return EvictionRank::within_head;
     if (state_ == State::shutting_down) return EvictionRank::shutting_down;
-    if (state_ != State::idle && is_request_incomplete()) return EvictionRank::within_body;
+    if (is_within_body()) return EvictionRank::within_body;
     if (state_ != State::idle) return EvictionRank::awaits_response;
     if (timeouts_.awaits_first_request()) return EvictionRank::awaits_first_request;
     const bool for_long = SteadyClock::now() - active_at_ >= net::to_duration(kLongIdleTime);
@@ -179,6 +179,7 @@
 
 void Connection::shut_down(Millis max_wait) {
     state_ = State::shutting_down;
+    active_at_ = SteadyClock::now();
     error_code ignored;
     socket_.shutdown(net::Tcp::socket::shutdown_send, ignored);
     shutdown_time_limit_ = SteadyClock::now() + net::to_duration(max_wait);
@@ -211,6 +212,11 @@
         shut_down(kLingerTimeout);
 }
 
+void Connection::evict_at_once() {
+    if (is_within_body()) reject(http::status::service_unavailable);
+    close();
+}
+
 void Connection::end_reading() {
     if (has_ended_reading_) return;
     if (is_reading_head() || is_receiving_body()) read();
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -30,10 +30,10 @@
     idle_for_long,  // clients do not expect a connection to be kept longer than this
     within_head,
     idle,
-    // Those that follow are never evicted.
+    // Those that follow are evicted only for a new connection that is pending already.
     shutting_down,
     within_body,
-    awaits_response,  // or is sending it
+    awaits_response,  // or is sending it; never evicted
 };
 /// The number of values of EvictionRank.
 constexpr std::size_t kEvictionRanks = 7;
@@ -77,6 +77,9 @@
     /// gracefully, because its client may not have read all of its last response. Any other is closed at
     /// once.
     void evict();
+    /// Ends the connection at once to free capacity for a pending one. A request whose body is incomplete is
+    /// rejected before: no server has started it.
+    void evict_at_once();
     /// Stops reading. Accepts a request that has arrived completely by now, rejects an incomplete one and
     /// shuts an idle connection down.
     void end_reading();
@@ -94,7 +97,8 @@
 
     bool is_shutting_down() const { return state_ == State::shutting_down; }
     EvictionRank eviction_rank() const;
-    /// Returns the last time at which the connection became idle or received bytes of a request head.
+    /// Returns the last time at which the connection became idle, received bytes of a request or started to
+    /// shut down.
     std::chrono::steady_clock::time_point active_at() const { return active_at_; }
 
 private:
@@ -116,6 +120,7 @@
     bool is_reading_head() const { return state_ == State::idle || state_ == State::reading_head; }
     bool is_reading() const { return is_open() && (is_reading_head() || is_receiving_body()); }
     bool is_request_incomplete() const;
+    bool is_within_body() const { return is_request_incomplete() && !is_reading_head(); }
     bool stays_open();
     bool has_more_requests();
 
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -92,10 +92,8 @@
 void Connection::note_received(std::size_t bytes) {
     parser_.commit(bytes);
     timeouts_.note_received(bytes);
-    if (is_receiving_body())
-        limit_body_time();
-    else if (state_ == State::reading_head)
-        active_at_ = SteadyClock::now();
+    if (state_ != State::idle) active_at_ = SteadyClock::now();
+    if (is_receiving_body()) limit_body_time();
 }
 
 // Parses the buffered bytes. Returns whether to continue reading; false if more bytes have to arrive first or
--- a/src/node/downstream_listener.cpp
+++ b/src/node/downstream_listener.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr Millis kAcceptPause = 20;        // after a failure to accept, such as no free descriptor
+constexpr Millis kAcceptPause = 20;        // if a pending connection cannot be accepted now
 constexpr int kMaxConsecutiveAccepts = 8;  // then other work is done first
 
 // Steers new connections to the second socket that shares the address. That is the one that started to listen
@@ -71,8 +71,10 @@
 
 // ---- Accepting ----
 
+// Waits for a connection at the limit too: some connections are evicted only for a pending one.
 void DownstreamListener::resume_accepting() {
-    if (accepting_ || !acceptor_.is_open() || !ensure_capacity()) return;
+    if (accepting_ || !acceptor_.is_open()) return;
+    ensure_capacity();
     acceptor_.async_wait(net::Tcp::acceptor::wait_read, [this](error_code failed) {
         if (failed == asio::error::operation_aborted) return;
         accepting_ = false;
@@ -84,8 +86,11 @@
 // Accepts the pending connections. Asio's async_accept() is not used: if it failed to allocate memory, its
 // handler would be lost and no connection accepted any more.
 void DownstreamListener::accept_pending() {
-    for (int accepts = 0; accepts < kMaxConsecutiveAccepts && acceptor_.is_open() && ensure_capacity();
-         ++accepts) {
+    for (int accepts = 0; accepts < kMaxConsecutiveAccepts && acceptor_.is_open(); ++accepts) {
+        if (!ensure_capacity()) {
+            if (has_pending_connection()) return accept_after_pause();
+            break;
+        }
         const error_code failed = accept_one();
         if (net::is_transient(failed)) break;
         if (failed && accept_pace_.must_pause_after(failed)) return accept_after_pause();
--- a/tests/final_answer_test.cpp
+++ b/tests/final_answer_test.cpp
@@ -107,6 +107,12 @@
     }
     // Returns whether the request has a response or its connection has ended.
     static bool is_finished(const SentRequest& a) { return !a.client->answers.empty() || a.client->ended; }
+    // Runs the event loop until no handler is ready: all bytes that were sent have been read then.
+    void run_ready_handlers() {
+        constexpr int kMaxTurns = 1000;
+        io.restart();
+        for (int turn = 0; turn < kMaxTurns && io.poll() > 0; ++turn) io.restart();
+    }
     // Checks that each request is finished in time. Calls `on_turn` repeatedly while it waits.
     void expect_each_finished_in_time(const std::function<void()>& on_turn = [] {}) {
         until([&] {
@@ -232,6 +238,79 @@
     for (const SentRequest& each : sent_requests) EXPECT_EQ(each.client->answers.size(), 1u);
 }
 
+// A crowd of clients that each send some bytes and then stay silent.
+struct SilentCrowd {
+    std::string name;
+    std::string bytes;  // sent by each client of the crowd
+    friend std::ostream& operator<<(std::ostream& out, const SilentCrowd& crowd) { return out << crowd.name; }
+};
+
+const std::vector<SilentCrowd> silent_crowds{
+    {"WithinBody", request("deposit", "id-crowd", 5000, std::string(1000, 'a')).substr(0, 200)},
+    {"WithinForwardedBody",
+     request("deposit", "id-crowd", 5000, std::string(1 << 20, 'a')).substr(0, 100000)},
+    {"AfterRejection", "no request\r\n\r\n"},
+};
+
+struct CrowdAtConnectionLimit : FinalAnswer, testing::WithParamInterface<SilentCrowd> {
+    // Returns how many clients of the crowd have received this status.
+    static int count_status(std::list<net::Tcp::socket>& crowd, const std::string& status) {
+        int count = 0;
+        for (net::Tcp::socket& each : crowd) {
+            std::array<char, 512> bytes{};
+            error_code ignored;
+            each.non_blocking(true, ignored);
+            const std::size_t received = each.read_some(asio::buffer(bytes), ignored);
+            count += std::string(bytes.data(), received).find(" " + status + " ") != std::string::npos;
+        }
+        return count;
+    }
+};
+
+// Guards against requests on new connections that wait unanswered in the backlog while other clients, which
+// stop in the middle of a body or do not close their connections, hold all connections (review case 1).
+TEST_P(CrowdAtConnectionLimit, RequestsOnNewConnectionsAreAnswered) {
+    constexpr int kCrowd = 240;
+    constexpr int kRequestTimeout = 1000;
+    start({{"s-a", a.address()}}, "48");  // The limit is twelve clients.
+    std::list<net::Tcp::socket> crowd;
+    for (int i = 0; i < kCrowd; ++i) {
+        crowd.emplace_back(io).connect(sidecar->address());
+        asio::write(crowd.back(), asio::buffer(GetParam().bytes));
+    }
+    for (int i = 0; i < 6; ++i)
+        send(request("deposit", "id-" + std::to_string(i), kRequestTimeout), kRequestTimeout);
+    expect_each_finished_in_time();
+    for (const SentRequest& each : sent_requests) {
+        ASSERT_EQ(each.client->answers.size(), 1u);
+        EXPECT_EQ(each.client->answers[0].result_int(), 200u);
+    }
+    const bool is_rejected_early = GetParam().name != "AfterRejection";
+    EXPECT_GE(count_status(crowd, is_rejected_early ? "503" : "400"), kCrowd - 12);
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, CrowdAtConnectionLimit, testing::ValuesIn(silent_crowds),
+                         [](const auto& info) { return info.param.name; });
+
+// Of the clients whose bodies are incomplete, the one that has been silent for longest is evicted first.
+TEST_F(FinalAnswer, SlowUploadIsNotEvictedBeforeSilentOnes) {
+    start({{"s-a", a.address()}}, "48");  // The limit is twelve clients.
+    const std::string slow = request("deposit", "id-slow", 1000, std::string(100, 'a'));
+    constexpr std::size_t kLastBytes = 60;
+    SentRequest& upload = send(slow.substr(0, slow.size() - kLastBytes), 3000);
+    std::list<net::Tcp::socket> crowd;
+    for (std::size_t i = kLastBytes; i > 0; --i) {
+        upload.client->send(slow.substr(slow.size() - i, 1));
+        run_ready_handlers();
+        crowd.emplace_back(io).connect(sidecar->address());
+        asio::write(crowd.back(), asio::buffer(silent_crowds.front().bytes));
+        run_ready_handlers();
+    }
+    expect_each_finished_in_time();
+    ASSERT_EQ(upload.client->answers.size(), 1u);
+    EXPECT_EQ(upload.client->answers[0].result_int(), 200u);
+}
+
 // Stalled uploads of other clients use the complete memory budget for bodies.
 TEST_F(FinalAnswer, StalledUploadsDoNotPreventResponses) {
     config::Config config =
