Log when a body is not read further because its server takes no more

Three causes were possible: the last byte is not written by the client, it waits unread in the sidecar's socket, or the answer was produced and not sent. The debug event `request.body_paused` tells them apart: it has the bytes read, those unread, the length, and whether a response is being sent.

--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -139,6 +139,7 @@
     bool expects_continue() const;
     void on_body_space();
     void wait_for_body_space();
+    void log_pause();
     void complete_body();
     void deliver();
     void note_unread();
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -1,8 +1,10 @@
 // Reading of requests by a downstream connection. Its other functions are in downstream_connection.cpp.
 #include <boost/asio/post.hpp>
+#include <string>
 #include <string_view>
 #include <utility>
 
+#include "net/log.hpp"
 #include "net/socket_errors.hpp"
 #include "node/downstream_connection.hpp"
 
@@ -203,9 +205,20 @@
     const std::uint64_t here = body_->bytes_written() + count_unread();
     if (!body_->length || here < *body_->length) unread_ages_.note_all_read();
     note_unread();
+    log_pause();
     lift_time_limit();
 }
 
+void Connection::log_pause() {
+    if (!net::is_logged(net::LogLevel::debug)) return;
+    net::LogFields fields{{"request", std::string((*head_)["Request-Id"])},
+                          {"read", body_->bytes_written()},
+                          {"unread", count_unread()},
+                          {"has_response", state_ == State::responding}};
+    if (body_->length) fields["length"] = *body_->length;
+    net::log(net::LogLevel::debug, "request.body_paused", std::move(fields));
+}
+
 void Connection::complete_body() {
     lift_time_limit();
     body_->mark_complete();
