Answer uploads in time whose server takes no more of the body

Cause: Connection::wait_for_body_space lifts the client's time limit while the body buffer is full. The last byte waits unread in the kernel, so the request never becomes complete and has no deadline.

Evidence: request.body_paused showed has_response false, and 4,959,024 of 5,242,880 bytes arrived when the pause began; the rest came while nothing observed the socket.

Fix: the pause is limited to the client's time-out, from its start or from the earliest time at which the client may have written its last byte. At the limit the attempts are timed out, and the Balancer decides on the answer as at any deadline. Unread bytes are counted every 50 ms, as a paused connection has no event.

--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -38,7 +38,7 @@
       timer_(io),
       unread_ages_([this] { return count_unread(); }),
       writer_(*this, socket_,
-              {[this] { close_at(SteadyClock::now() + net::to_duration(kReaderTimeout)); },
+              {[this] { set_time_limit(SteadyClock::now() + net::to_duration(kReaderTimeout)); },
                [this] { lift_time_limit(); },
                [this](bool complete, bool keep_alive) { end_response(complete, keep_alive); }}) {
     error_code ignored;
@@ -50,7 +50,7 @@
 
 void Connection::start() {
     active_at_ = SteadyClock::now();
-    close_at(timeouts_.on_connected(active_at_));
+    set_time_limit(timeouts_.on_connected(active_at_));
     wait_readable();
 }
 
@@ -183,7 +183,7 @@
     error_code ignored;
     socket_.shutdown(net::Tcp::socket::shutdown_send, ignored);
     shutdown_time_limit_ = SteadyClock::now() + net::to_duration(max_wait);
-    close_at(SteadyClock::now() + net::to_duration(kLingerTimeout));
+    set_time_limit(SteadyClock::now() + net::to_duration(kLingerTimeout));
     discard();
 }
 
@@ -195,7 +195,7 @@
                                 if (failed) return connection->close();
                                 if (!connection->owner_) return;
                                 const TimePoint next = SteadyClock::now() + net::to_duration(kLingerTimeout);
-                                connection->close_at(std::min(connection->shutdown_time_limit_, next));
+                                connection->set_time_limit(std::min(connection->shutdown_time_limit_, next));
                                 connection->discard();
                             });
 }
@@ -232,7 +232,7 @@
 
 // ---- Time limits ----
 
-void Connection::close_at(TimePoint time) {
+void Connection::set_time_limit(TimePoint time) {
     time_limit_ = time;
     timer_.expires_at(time);
     timer_.async_wait([weak = weak_from_this(), this, time](error_code cancelled) {
@@ -247,7 +247,7 @@
     timer_.cancel();
 }
 
-void Connection::limit_body_time() { close_at(timeouts_.body_deadline(SteadyClock::now())); }
+void Connection::limit_body_time() { set_time_limit(timeouts_.body_deadline(SteadyClock::now())); }
 
 // Reads first what has arrived by now. A connection without a complete request is then shut down gracefully;
 // a client that does not read its response is disconnected at once.
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -12,6 +12,7 @@
 
 #include "net/address.hpp"
 #include "net/body_buffer.hpp"
+#include "node/body_arrival.hpp"
 #include "node/guarded_connection.hpp"
 #include "node/incoming_request.hpp"
 #include "node/request_parser.hpp"
@@ -139,12 +140,15 @@
     bool expects_continue() const;
     void on_body_space();
     void wait_for_body_space();
-    void log_pause();
+    void limit_pause();
+    void log_pause() const;
     void complete_body();
     void deliver();
+    void note_all_read();
     void note_unread();
     void note_next_request();
-    std::size_t count_unread();
+    std::size_t count_unread() const;
+    std::size_t count_unread_in_socket() const;
 
     // ---- Responses ----
     void reject(boost::beast::http::status status);
@@ -154,7 +158,7 @@
     void report_response_ended(Owner& owner, bool complete);
 
     // ---- Time limits ----
-    void close_at(TimePoint time);
+    void set_time_limit(TimePoint time);
     void limit_body_time();
     void lift_time_limit();
     void on_time_limit();
@@ -175,6 +179,9 @@
     std::shared_ptr<net::BodyBuffer> body_;  // null if the request has no body
     unsigned http_version_ = kHttp11;
     bool keep_alive_ = true;
+    BodyArrival body_arrival_;
+    Millis client_timeout_ = 0;
+    std::optional<TimePoint> paused_since_;  // while reading of the body is paused
 
     TimePoint active_at_;
     TimePoint time_limit_;  // the epoch if there is no limit
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -1,9 +1,11 @@
 // Reading of requests by a downstream connection. Its other functions are in downstream_connection.cpp.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "net/clock.hpp"
 #include "net/log.hpp"
 #include "net/socket_errors.hpp"
 #include "node/downstream_connection.hpp"
@@ -18,6 +20,7 @@
 
 constexpr std::size_t kBodyReadSize = 16 * 1024;  // bytes read at a time
 constexpr int kMaxConsecutiveReads = 8;           // then other connections are served first
+constexpr Millis kUnreadCountInterval = 50;       // while reading is paused
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -79,7 +82,7 @@
     if (net::is_transient(error)) {
         if (state_ == State::idle) parser_.release_unused_memory();
         const bool may_be_more = net::is_interrupted(error);
-        if (!may_be_more) unread_ages_.note_all_read();
+        if (!may_be_more) note_all_read();
         wait_readable();
         return false;
     }
@@ -94,6 +97,7 @@
 void Connection::note_received(std::size_t bytes) {
     parser_.commit(bytes);
     timeouts_.note_received(bytes);
+    body_arrival_.note_read(bytes);
     if (state_ != State::idle) active_at_ = SteadyClock::now();
     if (is_receiving_body()) limit_body_time();
 }
@@ -141,7 +145,7 @@
     state_ = State::reading_head;
     active_at_ = SteadyClock::now();
     parser_.start_request();
-    close_at(timeouts_.start_head(SteadyClock::now()));
+    set_time_limit(timeouts_.start_head(SteadyClock::now()));
 }
 
 bool Connection::handle_head() {
@@ -170,11 +174,13 @@
 // Starts to receive a body. Returns whether to continue reading at once.
 bool Connection::start_body() {
     state_ = State::reading_body;
+    paused_since_.reset();
     body_ = std::make_shared<net::BodyBuffer>(owner_->body_budget(), parser_.content_length());
     body_->on_writable = [weak = weak_from_this(), this] {
         if (const auto connection = weak.lock()) on_body_space();
     };
     timeouts_.start_body(parser_.buffered());
+    body_arrival_.start(parser_.buffered(), parser_.content_length());
     limit_body_time();
     if (parser_.buffered() > 0 || !expects_continue()) return true;
     writer_.write_out(net::make_write_step(asio::const_buffer(kContinue.data(), kContinue.size())),
@@ -193,23 +199,41 @@
 
 void Connection::on_body_space() {
     if (!is_receiving_body()) return;
+    paused_since_.reset();
     timeouts_.resume_body(SteadyClock::now());
     limit_body_time();
     asio::post(socket_.get_executor(), if_open([this] { read(); }));
 }
 
 // Pauses reading while the body buffer is full; on_body_space() resumes it. The sidecar causes this delay, so
-// the client's time limit is lifted. If the last byte has not arrived yet, the unread time counts from now at
-// the earliest.
+// the time limit for the client's sending does not apply. If the last byte has not arrived yet, the unread
+// time counts from now at the earliest.
 void Connection::wait_for_body_space() {
     const std::uint64_t here = body_->bytes_written() + count_unread();
     if (!body_->length || here < *body_->length) unread_ages_.note_all_read();
     note_unread();
     log_pause();
-    lift_time_limit();
+    if (state_ == State::waiting)
+        limit_pause();
+    else
+        lift_time_limit();
+}
+
+// Limits the pause to the client's time-out. It counts from the start of the pause, or from the time at which
+// the client may have written its last byte if that was earlier. The unread bytes are counted at intervals,
+// because a paused connection has no event for their arrival.
+void Connection::limit_pause() {
+    const TimePoint now = SteadyClock::now();
+    if (!paused_since_) paused_since_ = now;
+    body_arrival_.note_unread(count_unread_in_socket(), now);
+    const TimePoint from = std::min(*paused_since_, body_arrival_.earliest_end().value_or(*paused_since_));
+    const TimePoint deadline = from + net::to_duration(client_timeout_);
+    const TimePoint next_count = now + net::to_duration(kUnreadCountInterval);
+    set_time_limit(now < deadline ? std::min(deadline, next_count) : next_count);
+    if (now >= deadline) owner_->callbacks().on_body_overdue(id_);
 }
 
-void Connection::log_pause() {
+void Connection::log_pause() const {
     if (!net::is_logged(net::LogLevel::debug)) return;
     net::LogFields fields{{"request", std::string((*head_)["Request-Id"])},
                           {"read", body_->bytes_written()},
@@ -235,6 +259,7 @@
 void Connection::deliver() {
     auto request = read_incoming_request(*head_);
     timeouts_.note_first_request();
+    client_timeout_ = request->time_left;
     if (!is_receiving_body()) {
         lift_time_limit();
         request->time_left = std::max(0.0, request->time_left - unread_time());
@@ -253,6 +278,11 @@
 
 // ---- Unread bytes ----
 
+void Connection::note_all_read() {
+    unread_ages_.note_all_read();
+    body_arrival_.note_all_read();
+}
+
 void Connection::note_unread() { unread_ages_.note_unread(SteadyClock::now()); }
 
 // Starts to track the unread time of the next request: the current one is complete, so all remaining bytes
@@ -264,9 +294,11 @@
         unread_ages_.note_all_read();
 }
 
-std::size_t Connection::count_unread() {
+std::size_t Connection::count_unread() const { return parser_.buffered() + count_unread_in_socket(); }
+
+std::size_t Connection::count_unread_in_socket() const {
     error_code ignored;
-    return parser_.buffered() + socket_.available(ignored);
+    return socket_.available(ignored);
 }
 
 }  // namespace mothring::node::downstream
--- a/src/node/incoming_request.hpp
+++ b/src/node/incoming_request.hpp
@@ -42,6 +42,9 @@
     std::function<void(IncomingRequest)> on_request;
     /// The last byte of a request has arrived that was reported while incomplete.
     std::function<void(RequestId)> on_body_complete;
+    /// The last byte of a request that was reported while incomplete may have been waiting unread for the
+    /// client's whole time-out, because the body buffer is full. Repeated until the request has a response.
+    std::function<void(RequestId)> on_body_overdue;
     /// The connection of a request without a complete response has ended, or the request was rejected.
     std::function<void(RequestId)> on_client_disconnected;
     /// The last event of each request, reported once; `complete` tells whether its response was written
--- a/src/node/request_forwarder.cpp
+++ b/src/node/request_forwarder.cpp
@@ -67,6 +67,20 @@
     parts_.loop.handle(BodyComplete{id, request->time_left});
 }
 
+// The Balancer decides on the answer, as it does at the deadline of a complete request. The attempts are
+// timed out first, so that their servers are recorded as the cause.
+void RequestForwarder::on_body_overdue(RequestId id) {
+    Request* const request = parts_.requests.find_open(id);
+    if (request == nullptr) return;
+    net::log(
+        net::LogLevel::warn, "request.body_overdue",
+        {{"request", std::string((*request->head)["Request-Id"])}, {"read", request->body->bytes_written()}});
+    request->deadline = parts_.clock.now();
+    const std::size_t attempt_count = request->attempts.size();
+    parts_.loop.handle(BodyComplete{id, 0});
+    time_out_attempts(id, attempt_count);
+}
+
 // Marks the request as ended first, so that no retry or timer sends another attempt for it. Most clients
 // disconnect at their deadline, so attempts past the deadline are recorded as timed out, not as cancelled.
 void RequestForwarder::on_client_disconnected(RequestId id) {
--- a/src/node/request_forwarder.hpp
+++ b/src/node/request_forwarder.hpp
@@ -44,6 +44,9 @@
     void on_request(DownstreamListener::IncomingRequest incoming);
     /// Handles the last byte of a request that was incomplete on arrival.
     void on_body_complete(RequestId id);
+    /// Handles the deadline of a request that cannot be read to its last byte because its server takes no
+    /// more of it.
+    void on_body_overdue(RequestId id);
     /// Handles the disconnection of a request's client.
     void on_client_disconnected(RequestId id);
     /// Times out an attempt at its deadline. An attempt whose response is being streamed continues.
