Count connections of one rank by one function; log at the limit only there

ConnectionLimit::count(rank) replaces shutting_down_count() and the array of counts beside it, with its constant and casts. connections.at_limit is logged where a pending connection is put off, so a failed check at the limit no longer polls the listener and builds the fields each time. A pause for body space counts the bytes unread in the socket once in place of twice.

--- a/src/node/connection_limit.cpp
+++ b/src/node/connection_limit.cpp
@@ -22,18 +22,11 @@
     return found;
 }
 
-std::size_t ConnectionLimit::shutting_down_count() const {
-    const auto is_shutting_down = [](const ConnectionPtr& connection) {
-        return connection->is_shutting_down();
+std::size_t ConnectionLimit::count(EvictionRank rank) const {
+    const auto has_rank = [rank](const ConnectionPtr& connection) {
+        return connection->eviction_rank() == rank;
     };
-    return static_cast<std::size_t>(std::ranges::count_if(connections_, is_shutting_down));
-}
-
-ConnectionLimit::RankCounts ConnectionLimit::count_by_rank() const {
-    RankCounts counts{};
-    for (const ConnectionPtr& connection : connections_)
-        ++counts.at(static_cast<std::size_t>(connection->eviction_rank()));
-    return counts;
+    return static_cast<std::size_t>(std::ranges::count_if(connections_, has_rank));
 }
 
 bool ConnectionLimit::ensure_capacity(const std::function<bool()>& has_pending_connection) {
@@ -42,7 +35,7 @@
     const bool must_close_at_once = is_reached() && has_pending_connection();
     std::vector<Candidate> order =
         candidates(must_close_at_once ? EvictionRank::within_body : EvictionRank::idle);
-    std::size_t shutting_down = shutting_down_count();
+    std::size_t shutting_down = count(EvictionRank::shutting_down);
     const auto is_later = [](const Candidate& left, const Candidate& right) {
         return std::tie(left.rank, left.active_at) > std::tie(right.rank, right.active_at);
     };
--- a/src/node/connection_limit.hpp
+++ b/src/node/connection_limit.hpp
@@ -2,7 +2,6 @@
 /// The limit on open downstream connections, and which of them are evicted to keep to it.
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <functional>
 #include <unordered_set>
@@ -34,9 +33,8 @@
     void set_limit(std::size_t limit, const std::function<bool()>& has_pending_connection);
     bool is_reached() const { return connections_.size() >= limit_; }
 
-    /// Number of connections with each EvictionRank.
-    using RankCounts = std::array<std::size_t, kEvictionRanks>;
-    RankCounts count_by_rank() const;
+    /// Returns the number of connections with this rank.
+    std::size_t count(EvictionRank rank) const;
 
 private:
     struct Candidate {
@@ -46,7 +44,6 @@
     };
 
     std::vector<Candidate> candidates(EvictionRank highest) const;
-    std::size_t shutting_down_count() const;
 
     const Connections& connections_;
     std::size_t limit_;
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -36,8 +36,6 @@
     within_body,
     awaits_response,  // or is sending it; never evicted
 };
-/// The number of values of EvictionRank.
-constexpr std::size_t kEvictionRanks = 7;
 
 /// Reads the requests of one client connection, reports them one at a time and writes their responses. It
 /// reads from the socket only as much as it has buffer space for.
@@ -140,7 +138,7 @@
     bool expects_continue() const;
     void on_body_space();
     void wait_for_body_space();
-    void limit_pause();
+    void limit_pause(std::size_t unread_in_socket);
     void log_pause() const;
     void complete_body();
     void deliver();
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -209,12 +209,13 @@
 // the time limit for the client's sending does not apply. If the last byte has not arrived yet, the unread
 // time counts from now at the earliest.
 void Connection::wait_for_body_space() {
-    const std::uint64_t here = body_->bytes_written() + count_unread();
+    const std::size_t unread_in_socket = count_unread_in_socket();
+    const std::uint64_t here = body_->bytes_written() + parser_.buffered() + unread_in_socket;
     if (!body_->length || here < *body_->length) unread_ages_.note_all_read();
     note_unread();
     log_pause();
     if (state_ == State::waiting)
-        limit_pause();
+        limit_pause(unread_in_socket);
     else
         lift_time_limit();
 }
@@ -222,10 +223,10 @@
 // Limits the pause to the client's time-out. It counts from the start of the pause, or from the time at which
 // the client may have written its last byte if that was earlier. The unread bytes are counted at intervals,
 // because a paused connection has no event for their arrival.
-void Connection::limit_pause() {
+void Connection::limit_pause(std::size_t unread_in_socket) {
     const TimePoint now = SteadyClock::now();
     if (!paused_since_) paused_since_ = now;
-    body_arrival_.note_unread(count_unread_in_socket(), now);
+    body_arrival_.note_unread(unread_in_socket, now);
     const TimePoint from = std::min(*paused_since_, body_arrival_.earliest_end().value_or(*paused_since_));
     const TimePoint deadline = from + net::to_duration(client_timeout_);
     const TimePoint next_count = now + net::to_duration(kUnreadCountInterval);
--- a/src/node/downstream_listener.cpp
+++ b/src/node/downstream_listener.cpp
@@ -88,8 +88,9 @@
 void DownstreamListener::accept_pending() {
     for (int accepts = 0; accepts < kMaxConsecutiveAccepts && acceptor_.is_open(); ++accepts) {
         if (!ensure_capacity()) {
-            if (has_pending_connection()) return accept_after_pause();
-            break;
+            if (!has_pending_connection()) break;
+            log_at_limit();
+            return accept_after_pause();
         }
         const error_code failed = accept_one();
         if (net::is_transient(failed)) break;
@@ -130,21 +131,17 @@
 }
 
 bool DownstreamListener::ensure_capacity() {
-    const bool has_capacity = limit_.ensure_capacity([this] { return has_pending_connection(); });
-    if (!has_capacity && has_pending_connection()) log_at_limit();
-    return has_capacity;
+    return limit_.ensure_capacity([this] { return has_pending_connection(); });
 }
 
 // Logs what holds the connections while new ones have to wait.
 void DownstreamListener::log_at_limit() {
     using downstream::EvictionRank;
-    const downstream::ConnectionLimit::RankCounts counts = limit_.count_by_rank();
-    const auto count = [&counts](EvictionRank rank) { return counts.at(static_cast<std::size_t>(rank)); };
     limit_log_.log(net::LogLevel::warn, "connections.at_limit",
                    {{"connections", connections_.size()},
-                    {"shutting_down", count(EvictionRank::shutting_down)},
-                    {"within_body", count(EvictionRank::within_body)},
-                    {"awaiting_response", count(EvictionRank::awaits_response)}});
+                    {"shutting_down", limit_.count(EvictionRank::shutting_down)},
+                    {"within_body", limit_.count(EvictionRank::within_body)},
+                    {"awaiting_response", limit_.count(EvictionRank::awaits_response)}});
 }
 
 void DownstreamListener::limit_connections(std::size_t connections) {
