Let streamed answers go on through a long pause of their server

Cause: UpstreamResponseReader ended a streamed answer after 3 s without bytes. Evidence: the new log event response.truncated, with the old limit: "Connection timed out", 3 s after the path fell silent. Change: the limit is 5 minutes. After 3 s of silence (response.stalled) an answer no longer counts against the admission limit, ends when its client leaves, and may be closed for a connection that is pending at the limit of connections. So a silent server holds up no more than it did.

--- a/include/mothring/events.hpp
+++ b/include/mothring/events.hpp
@@ -117,6 +117,13 @@
     std::uint32_t attempt = 0;
 };
 
+/// The server has paused for long within a streamed response. The attempt goes on, but it no longer counts as
+/// in flight for admission control: a server that is silent would otherwise block other requests.
+struct ResponseStalled {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+
 /// An attempt has ended.
 struct AttemptEnded {
     RequestId id = 0;
@@ -169,6 +176,6 @@
 
 using Event = std::variant<Started, EndpointList, RequestArrived, ResponseStarted, AttemptEnded,
                            ClientDisconnected, TimerFired, HealthCheckEnded, PeerMessage, ProcessOverlap,
-                           BodyComplete, BodyDiscarded, MemberView>;
+                           BodyComplete, BodyDiscarded, MemberView, ResponseStalled>;
 
 }  // namespace mothring
--- a/src/node/connection_limit.cpp
+++ b/src/node/connection_limit.cpp
@@ -34,7 +34,7 @@
     if (connections_.size() < unreserved_limit) return true;
     const bool must_close_at_once = is_reached() && has_pending_connection();
     std::vector<Candidate> order =
-        candidates(must_close_at_once ? EvictionRank::within_body : EvictionRank::idle);
+        candidates(must_close_at_once ? EvictionRank::stalled_response : EvictionRank::idle);
     std::size_t shutting_down = count(EvictionRank::shutting_down);
     const auto is_later = [](const Candidate& left, const Candidate& right) {
         return std::tie(left.rank, left.active_at) > std::tie(right.rank, right.active_at);
--- a/src/node/connection_limit.hpp
+++ b/src/node/connection_limit.hpp
@@ -15,7 +15,8 @@
 /// rank, and of those with equal rank the least recently active one. A graceful shutdown lasts until the
 /// client closes too or a time-out expires, so part of the limit is reserved for connections that are
 /// shutting down. If the limit is reached and a new connection is pending already, the evicted connection is
-/// closed at once instead; it may then also be one that is shutting down or waits for the rest of a body.
+/// closed at once instead; it may then also be one that is shutting down, or that waits for
+/// the rest of a body from its client or, for long, from the server.
 class ConnectionLimit {
 public:
     using Connections = std::unordered_set<ConnectionPtr>;
--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -17,10 +17,12 @@
 
 namespace {
 
-constexpr Millis kReaderTimeout = 10000;    // for a client that reads nothing of its response
-constexpr Millis kLingerTimeout = 300;      // for the client to close after our shutdown
-constexpr Millis kMaxLingerTimeout = 3000;  // the same in total, if the client keeps sending
-constexpr Millis kLongIdleTime = 2000;      // after it, an idle connection is evicted earlier
+constexpr Millis kReaderTimeout = 10000;     // for a client that reads nothing of its response
+constexpr Millis kStallTime = 3000;          // pause of a server within a response that is a long one
+constexpr Millis kStallCheckInterval = 500;  // at which a stalled connection looks for the client's end
+constexpr Millis kLingerTimeout = 300;       // for the client to close after our shutdown
+constexpr Millis kMaxLingerTimeout = 3000;   // the same in total, if the client keeps sending
+constexpr Millis kLongIdleTime = 2000;       // after it, an idle connection is evicted earlier
 
 Response plain_response(http::status status) {
     Response response(status, kHttp11);
@@ -38,8 +40,7 @@
       timer_(io),
       unread_ages_([this] { return count_unread(); }),
       writer_(*this, socket_,
-              {[this] { set_time_limit(SteadyClock::now() + net::to_duration(kReaderTimeout)); },
-               [this] { lift_time_limit(); },
+              {[this] { on_stream_progress(); }, [this] { on_stream_waiting(); },
                [this](bool complete, bool keep_alive) { end_response(complete, keep_alive); }}) {
     error_code ignored;
     socket_.set_option(net::Tcp::no_delay(true), ignored);
@@ -80,6 +81,7 @@
     if (state_ == State::reading_head) return EvictionRank::within_head;
     if (state_ == State::shutting_down) return EvictionRank::shutting_down;
     if (is_within_body()) return EvictionRank::within_body;
+    if (has_server_stalled_) return EvictionRank::stalled_response;
     if (state_ != State::idle) return EvictionRank::awaits_response;
     if (timeouts_.awaits_first_request()) return EvictionRank::awaits_first_request;
     const bool for_long = SteadyClock::now() - active_at_ >= net::to_duration(kLongIdleTime);
@@ -137,6 +139,29 @@
     if (id_ != 0) owner.callbacks().on_response_ended(std::exchange(id_, 0), complete);
 }
 
+void Connection::on_stream_progress() {
+    is_awaiting_server_ = false;
+    has_server_stalled_ = false;
+    set_time_limit(SteadyClock::now() + net::to_duration(kReaderTimeout));
+}
+
+// A client that is still sending its request has the time limit for that instead.
+void Connection::on_stream_waiting() {
+    if (is_receiving_body()) return lift_time_limit();
+    is_awaiting_server_ = true;
+    active_at_ = SteadyClock::now();
+    set_time_limit(active_at_ + net::to_duration(kStallTime));
+}
+
+// A server that pauses for long may still give the rest, so the response goes on as long as the client waits.
+// While nothing is written, the client's end is only seen by looking for it.
+void Connection::on_stream_stalled() {
+    if (has_client_left()) return close();
+    set_time_limit(SteadyClock::now() + net::to_duration(kStallCheckInterval));
+    if (std::exchange(has_server_stalled_, true)) return;
+    owner_->callbacks().on_response_stalled(id_);
+}
+
 void Connection::end_response(bool complete, bool keep_alive) {
     const bool leaves_unread = is_receiving_body();
     if (body_) body_->on_writable = nullptr;
@@ -144,6 +169,8 @@
     head_.reset();
     parser_.end_request();
     writer_.stop_streaming();
+    is_awaiting_server_ = false;
+    has_server_stalled_ = false;
     report_response_ended(*owner_, complete);
     lift_time_limit();
     if (!complete) return close();
@@ -252,6 +279,7 @@
 // Reads first what has arrived by now. A connection without a complete request is then shut down gracefully;
 // a client that does not read its response is disconnected at once.
 void Connection::on_time_limit() {
+    if (is_awaiting_server_) return on_stream_stalled();
     if (is_request_incomplete()) {
         read();
         if (!owner_ || !is_request_incomplete()) return;
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -34,7 +34,8 @@
     // Those that follow are evicted only for a new connection that is pending already.
     shutting_down,
     within_body,
-    awaits_response,  // or is sending it; never evicted
+    stalled_response,  // the server has sent nothing more of a streamed response for a long time
+    awaits_response,   // or is sending it; never evicted
 };
 
 /// Reads the requests of one client connection, reports them one at a time and writes their responses. It
@@ -155,6 +156,10 @@
     void end_response(bool complete, bool keep_alive);
     void report_response_ended(Owner& owner, bool complete);
 
+    void on_stream_progress();
+    void on_stream_waiting();
+    void on_stream_stalled();
+
     // ---- Time limits ----
     void set_time_limit(TimePoint time);
     void limit_body_time();
@@ -185,6 +190,8 @@
     TimePoint time_limit_;  // the epoch if there is no limit
     TimePoint shutdown_time_limit_;
     bool is_waiting_readable_ = false;
+    bool is_awaiting_server_ = false;  // all received bytes of a streamed response are written
+    bool has_server_stalled_ = false;  // for long
     bool has_ended_reading_ = false;
 };
 
--- a/src/node/downstream_listener.cpp
+++ b/src/node/downstream_listener.cpp
@@ -141,6 +141,7 @@
                    {{"connections", connections_.size()},
                     {"shutting_down", limit_.count(EvictionRank::shutting_down)},
                     {"within_body", limit_.count(EvictionRank::within_body)},
+                    {"stalled_response", limit_.count(EvictionRank::stalled_response)},
                     {"awaiting_response", limit_.count(EvictionRank::awaits_response)}});
 }
 
--- a/src/node/incoming_request.hpp
+++ b/src/node/incoming_request.hpp
@@ -47,6 +47,8 @@
     std::function<void(RequestId)> on_body_overdue;
     /// The connection of a request without a complete response has ended, or the request was rejected.
     std::function<void(RequestId)> on_client_disconnected;
+    /// The server has sent nothing more of a streamed response for a long time. Reported once a pause.
+    std::function<void(RequestId)> on_response_stalled;
     /// The last event of each request, reported once; `complete` tells whether its response was written
     /// completely.
     std::function<void(RequestId, bool complete)> on_response_ended;
--- a/src/node/request_forwarder.cpp
+++ b/src/node/request_forwarder.cpp
@@ -221,6 +221,18 @@
     parts_.listener->stream_response(key.request, std::move(head), std::move(body));
 }
 
+void RequestForwarder::on_response_stalled(RequestId id) {
+    const Request* const request = parts_.requests.find(id);
+    if (request == nullptr) return;
+    const std::string request_id((*request->head)["Request-Id"]);
+    for_each_in_flight(id, request->attempts.size(), [&](const AttemptKey& key, const Attempt& attempt) {
+        if (!attempt.has_response_started()) return;
+        net::log(net::LogLevel::info, "response.stalled",
+                 {{"request", request_id}, {"server", parts_.endpoints.name_of(attempt.server)}});
+        parts_.loop.handle(ResponseStalled{key.request, key.attempt});
+    });
+}
+
 // The reported duration measures the server only. It starts with the sending of the attempt, or with the last
 // byte of the request if that arrived later, and ends with the first byte of a streamed response or with the
 // last byte of a buffered one.
--- a/src/node/request_forwarder.hpp
+++ b/src/node/request_forwarder.hpp
@@ -52,6 +52,9 @@
     /// Times out an attempt at its deadline. An attempt whose response is being streamed continues.
     void on_attempt_deadline(const AttemptDeadline& deadline);
 
+    /// Handles a long pause of the server within a streamed response. The attempt continues.
+    void on_response_stalled(RequestId id);
+
     /// Sends a request to a server.
     void send(const SendAttempt& send);
     /// Cancels an attempt.
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -181,6 +181,7 @@
     callbacks.on_body_complete = [this](RequestId id) { forwarder_.on_body_complete(id); };
     callbacks.on_body_overdue = [this](RequestId id) { forwarder_.on_body_overdue(id); };
     callbacks.on_client_disconnected = [this](RequestId id) { forwarder_.on_client_disconnected(id); };
+    callbacks.on_response_stalled = [this](RequestId id) { forwarder_.on_response_stalled(id); };
     callbacks.on_response_ended = [this](RequestId id, bool is_complete) {
         in_flight_.complete(id, is_complete);
     };
--- a/src/node/upstream_connection.hpp
+++ b/src/node/upstream_connection.hpp
@@ -26,6 +26,7 @@
     static constexpr std::size_t kMaxConnections = 512;
     static constexpr Millis kBufferingTime = 50;
     static constexpr Millis kReuseDelay = 10;
+    static constexpr Millis kStreamIdleTimeout = 300000;
 
     /// Time within which a connection must be established.
     Millis connect_timeout = kConnectTimeout;
@@ -40,6 +41,9 @@
     /// arrives a few milliseconds after the first, and HTTP/1.1 has no field that shows which request a
     /// response belongs to.
     Millis reuse_delay = kReuseDelay;
+    /// Time without received bytes after which a streamed response fails. A streamed response has no
+    /// deadline, so this only ends the wait for a server that never returns.
+    Millis stream_idle_timeout = kStreamIdleTimeout;
 };
 
 /// Counters of a pool.
--- a/src/node/upstream_response_reader.cpp
+++ b/src/node/upstream_response_reader.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-/// Time without received bytes after which a streamed response fails; equal to the longest request deadline.
-constexpr Millis kStreamIdleTimeout = 3000;
 /// Largest number of bytes per read during the body.
 constexpr std::size_t kBodyReadSize = 16 * 1024;
 /// Largest number of reads and parser calls in a row before other connections are served.
@@ -34,6 +32,12 @@
     return limit;
 }
 
+/// Returns the log for streamed responses that end early, limited to one line per second.
+net::RateLimitedLog& truncated_log() {
+    static net::RateLimitedLog limit(std::chrono::seconds(1));
+    return limit;
+}
+
 /// Returns the outcome for the status of a response. A 503 or 504 with "Not-Started: 1" proves that the
 /// request never ran; a request that ended with another error may have run. A 4xx means that the request
 /// itself is invalid, except for 408 and 429, which ask for a retry.
@@ -105,7 +109,7 @@
         return false;
     }
     received.commit(count);
-    if (is_streaming_) connection.set_timeout(kStreamIdleTimeout);
+    if (is_streaming_) connection.set_timeout(connection.limits().stream_idle_timeout);
     return true;
 }
 
@@ -222,7 +226,7 @@
     UpstreamConnection& connection = exchange_.connection();
     if (body_->bytes_written() == 0) return connection.set_timeout(connection.limits().buffering_time);
     is_streaming_ = true;
-    connection.set_timeout(kStreamIdleTimeout);
+    connection.set_timeout(connection.limits().stream_idle_timeout);
     body_->on_writable = [weak = exchange_.weak_from_this()] {
         if (const auto exchange = weak.lock()) exchange->reader().on_body_writable();
     };
@@ -238,7 +242,7 @@
     asio::post(connection.socket().get_executor(), [this, exchange = exchange_.shared_from_this()] {
         UpstreamConnection& reopened = exchange->connection();
         if (!reopened.is_open() || reopened.is_waiting_readable() || !is_streaming_) return;
-        reopened.set_timeout(kStreamIdleTimeout);
+        reopened.set_timeout(reopened.limits().stream_idle_timeout);
         read();
     });
 }
@@ -247,12 +251,20 @@
 void UpstreamResponseReader::on_invalid_response(error_code why) {
     if (net::is_malformed(why))
         not_http_log().log(spdlog::level::warn, "upstream.not_http", {{"why", why.message()}});
+    if (is_streaming_) log_truncated(why);
     // The outcome of an error response depends on its header only, also if its body is truncated.
     const bool has_header = parser_ && parser_->is_header_done();
     if (has_header && parser_->get().result() != http::status::ok) return end_with_response();
     exchange_.fail(exchange_.writer().is_written());
 }
 
+void UpstreamResponseReader::log_truncated(error_code why) const {
+    truncated_log().log(spdlog::level::warn, "response.truncated",
+                        {{"request", std::string(exchange_.request().message["Request-Id"])},
+                         {"why", why.message()},
+                         {"received", body_->bytes_written()}});
+}
+
 void UpstreamResponseReader::end_with_response() {
     const auto& message = parser_->get();
     const bool is_reusable = parser_->is_done() && parser_->keep_alive() && exchange_.writer().is_written() &&
--- a/src/node/upstream_response_reader.hpp
+++ b/src/node/upstream_response_reader.hpp
@@ -46,6 +46,7 @@
     void on_body_writable();
     void on_read_failed(boost::system::error_code error);
     void on_invalid_response(boost::system::error_code why);
+    void log_truncated(boost::system::error_code why) const;
     void end_with_response();
 
     UpstreamExchange& exchange_;
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -58,6 +58,7 @@
     void on(const BodyComplete& event);
     void on(const BodyDiscarded& event);
     void on(const ResponseStarted& event);
+    void on(const ResponseStalled& event);
     void on(const AttemptEnded& event);
     void on(const ClientDisconnected& event);
     void on(const TimerFired& event);
@@ -248,6 +249,17 @@
     if (request && event.attempt < request->attempts.size()) request->response_started = true;
 }
 
+void Balancer::Impl::on(const ResponseStalled& event) {
+    Request* const request = requests.find(event.id);
+    if (!request || event.attempt >= request->attempts.size()) return;
+    Attempt& attempt = request->attempts[event.attempt];
+    if (!attempt.in_flight || attempt.has_stalled) return;
+    admission.update_means(now);
+    if (attempt.is_under_admission_limit()) admission.attempt_ended();
+    attempt.has_stalled = true;
+    release_waiting();
+}
+
 void Balancer::Impl::on(const AttemptEnded& event) {
     Request* const request = requests.find(event.id);
     if (!request || event.attempt >= request->attempts.size()) return;
@@ -256,7 +268,7 @@
     attempt.in_flight = false;
     attempt.may_have_run = !proves_never_ran(event.outcome, settings);
     admission.update_means(now);
-    if (!attempt.to_warming_up) admission.attempt_ended();
+    if (attempt.is_under_admission_limit()) admission.attempt_ended();
     const ServerId server = attempt.server.id;
     if (Endpoint* const endpoint = endpoints.find(server)) {
         outcomes.record(*endpoint, *request, attempt, event, now, *actions);
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -22,6 +22,11 @@
     bool is_trial = false;
     /// Whether its server was warming up when the attempt was sent.
     bool to_warming_up = false;
+    /// Whether its response has started and has then paused for long.
+    bool has_stalled = false;
+
+    /// Returns whether admission control counts it while it is in flight.
+    bool is_under_admission_limit() const { return !to_warming_up && !has_stalled; }
 };
 
 /// A request that has no final answer yet or still has attempts in flight.
--- a/tests/policy/admission_controller_test.cpp
+++ b/tests/policy/admission_controller_test.cpp
@@ -71,6 +71,31 @@
     EXPECT_TRUE(harness.is_in_flight(in_time));
 }
 
+// Guards against responses of silent servers that use up the limit, so that requests for other servers are
+// rejected.
+TEST(AdmissionController, StalledResponsesDoNotUseTheLimit) {
+    PolicyHarness harness(make_settings());
+    harness.deliver_list(ListKind::full, make_servers(4));
+    overload(harness);
+    constexpr Millis kLongTimeLeft = 60000;
+    const std::vector<RequestId> stalled = harness.start_requests(200, kLongTimeLeft);
+    const int limit = harness.count_in_flight(stalled);
+    ASSERT_GT(limit, 0);
+    ASSERT_LT(limit, 200);
+    harness.advance(100);  // the requests over the limit are rejected
+    ASSERT_EQ(harness.count_in_flight(harness.start_requests(1, kLongTimeLeft)), 0);
+    harness.advance(100);
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        for (const RequestId id : stalled) {
+            harness.deliver(ResponseStarted{id, 0});
+            harness.deliver(ResponseStalled{id, 0});
+        }
+    }
+    const int in_flight = harness.count_in_flight(harness.start_requests(200, kLongTimeLeft));
+    EXPECT_GT(in_flight, 0);
+    EXPECT_LE(in_flight, limit) << "no stalled response counts twice";
+}
+
 TEST(AdmissionController, SendsWaitingRequestsNewestFirst) {
     PolicyHarness harness(make_settings());
     const RequestId older = harness.start_request(0, 1000);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -248,6 +248,24 @@
     EXPECT_EQ(server.connections.at(0)->requests, 1u);
 }
 
+// Guards against a wait without end for a server that never gives the rest of a streamed response.
+TEST_F(UpstreamPoolTest, StreamedResponseOfSilentServerTimesOut) {
+    constexpr Millis kIdleTimeout = 200;
+    UpstreamPool::Limits limits;
+    limits.stream_idle_timeout = kIdleTimeout;
+    create_pool(limits);
+    std::shared_ptr<net::BodyBuffer> streamed;
+    on_response_started = [&](UpstreamResponseHead, std::shared_ptr<net::BodyBuffer> body) {
+        streamed = std::move(body);
+    };
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_EQ(outcome_of({"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst"}),
+              Outcome::connection_lost);
+    EXPECT_GE(std::chrono::steady_clock::now() - began, net::to_duration(kIdleTimeout));
+    ASSERT_TRUE(streamed);
+    EXPECT_TRUE(streamed->is_truncated());
+}
+
 // The pool must close an idle connection before the server's own idle time-out does.
 TEST_F(UpstreamPoolTest, IdleConnectionIsClosedAfterIdleTimeout) {
     create_pool({250, 20, 8});
