Close kept connections late in a shutdown, and begin no long answer there

Cause: whether a connection is kept was decided when its streamed answer began, before SIGTERM; idle connections were shut down only once. Nothing bounded a streamed answer by the end of the process. Change: a connection that becomes idle after the listener has closed is shut down.

--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -175,7 +175,9 @@
     lift_time_limit();
     if (!complete) return close();
     const bool was_last = has_ended_reading_ && parser_.buffered() == 0;
-    if (!keep_alive || leaves_unread || was_last) return shut_down(kMaxLingerTimeout);
+    // The response may have announced that the connection is kept, before the drain began.
+    const bool is_drained = owner_->is_closing_idle() && !has_more_requests();
+    if (!keep_alive || leaves_unread || was_last || is_drained) return shut_down(kMaxLingerTimeout);
     state_ = State::idle;
     active_at_ = SteadyClock::now();
     note_next_request();
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -47,6 +47,8 @@
     class Owner {
     public:
         virtual bool is_draining() const = 0;
+        /// Returns whether a drain has begun to close the connections that are idle.
+        virtual bool is_closing_idle() const = 0;
         virtual const Callbacks& callbacks() const = 0;
         virtual std::shared_ptr<net::BufferBudget> body_budget() const = 0;
         virtual RequestId next_request_id() = 0;
--- a/src/node/downstream_listener.hpp
+++ b/src/node/downstream_listener.hpp
@@ -72,6 +72,7 @@
 private:
     // ---- Connection::Owner ----
     bool is_draining() const override { return draining_; }
+    bool is_closing_idle() const override { return draining_ && !acceptor_.is_open(); }
     const Callbacks& callbacks() const override { return callbacks_; }
     std::shared_ptr<net::BufferBudget> body_budget() const override { return budget_; }
     RequestId next_request_id() override { return next_request_++; }
--- a/src/node/graceful_shutdown.cpp
+++ b/src/node/graceful_shutdown.cpp
@@ -19,6 +19,9 @@
 /// Time for writing the last responses.
 constexpr Millis kWriteTime = 20;
 constexpr Millis kReserve = kMaxStall + kWriteTime;
+/// A request that arrives within kKillGrace of SIGTERM may go without a response. The process may have
+/// noticed SIGTERM late.
+constexpr Millis kExcusedTime = kKillGrace - kMaxStall;
 /// How long before the end connections without a request are closed.
 constexpr Millis kCloseWaitingBeforeEnd = 300;
 constexpr Millis kCheckInterval = 50;
@@ -35,7 +38,8 @@
 void GracefulShutdown::drain(DownstreamListener& listener) {
     listener_ = &listener;
     net::log(net::LogLevel::info, "drain.began", {{"requests", in_flight_.size()}});
-    ends_at_ = clock_.now() + longest_deadline_ + kKillGrace - kReserve;
+    began_at_ = clock_.now();
+    ends_at_ = began_at_ + longest_deadline_ + kKillGrace - kReserve;
     listener.drain(kAcceptTime);
     close_waiting_after(std::max(kAcceptTime, ends_at_ - kCloseWaitingBeforeEnd - clock_.now()),
                         kMaxShutdownTime);
@@ -49,6 +53,10 @@
     return ends_at_ > 0 ? std::clamp(ends_at_ - clock_.now(), 0.0, time_left) : time_left;
 }
 
+bool GracefulShutdown::must_end_response(Millis complete_at) const {
+    return ends_at_ > 0 && complete_at > began_at_ + kExcusedTime;
+}
+
 void GracefulShutdown::close_waiting_after(Millis delay, Millis remaining) {
     timer_.expires_after(net::to_duration(delay));
     timer_.async_wait(guard_.while_alive([this, remaining = remaining - delay] {
--- a/src/node/graceful_shutdown.hpp
+++ b/src/node/graceful_shutdown.hpp
@@ -37,6 +37,10 @@
     /// Returns the given time that a request has left, shortened to the end of the shutdown.
     Millis limit(Millis time_left) const;
 
+    /// Returns whether the response to a request that became complete at this time has to end before the
+    /// platform may kill the process. Responses to earlier requests may be cut off then.
+    bool must_end_response(Millis complete_at) const;
+
 private:
     void close_waiting_after(Millis delay, Millis remaining);
 
@@ -45,6 +49,8 @@
     const InFlightRequests& in_flight_;
     DownstreamListener* listener_ = nullptr;
     std::function<void()> on_finished_;
+    /// 0: no shutdown is in progress.
+    Millis began_at_ = 0;
     /// When the last response has to be sent; 0: no shutdown is in progress.
     Millis ends_at_ = 0;
     boost::asio::steady_timer timer_;
--- a/src/node/request_forwarder.cpp
+++ b/src/node/request_forwarder.cpp
@@ -215,12 +215,27 @@
         parts_.upstream.cancel(attempt.exchange);
         return end_attempt(key, Outcome::completed);
     }
-    attempt.response_started_at = parts_.clock.now();
+    const Millis now = parts_.clock.now();
+    if (parts_.shutdown.must_end_response(request->is_complete() ? request->complete_at : now))
+        return fail_long_response(key);
+    attempt.response_started_at = now;
     parts_.in_flight.set_outcome(key.request, request->class_index, RequestOutcome::served);
     parts_.loop.handle(ResponseStarted{key.request, key.attempt});
     parts_.listener->stream_response(key.request, std::move(head), std::move(body));
 }
 
+// A response that begins now may not end before the process is killed. The client can be told so only as long
+// as nothing of the response has been sent.
+void RequestForwarder::fail_long_response(const AttemptKey& key) {
+    const Request& request = parts_.requests.at(key.request);
+    const ExchangeId exchange = request.attempts[key.attempt].exchange;
+    net::log(net::LogLevel::warn, "drain.long_response",
+             {{"request", std::string((*request.head)["Request-Id"])}});
+    respond(key.request, empty_response(http::status::bad_gateway));
+    parts_.upstream.cancel(exchange);
+    end_attempt(key, Outcome::completed);
+}
+
 void RequestForwarder::on_response_stalled(RequestId id) {
     const Request* const request = parts_.requests.find(id);
     if (request == nullptr) return;
--- a/src/node/request_forwarder.hpp
+++ b/src/node/request_forwarder.hpp
@@ -85,6 +85,7 @@
 
     void on_response_started(const AttemptKey& key, DownstreamListener::ResponseHead head,
                              std::shared_ptr<net::BodyBuffer> body);
+    void fail_long_response(const AttemptKey& key);
     void end_attempt(const AttemptKey& key, Outcome outcome, UpstreamPool::Response response = {});
     void time_out_attempt(const AttemptKey& key);
     /// Times out those of the first `count` attempts whose response has not started.
