Expect late answers only from several recent ones, and try again each second

Cause: AdmissionController::is_hopeless went by a mean that followed a single answer, and only a further answer changes it. With all requests refused there was none. Change: the mean counts only with three recent answers, the first of which weigh alike. If no attempt of a class was sent for 1 s, the next request is sent. /metrics has expected_late, the number of these refusals, which tells them from those of the concurrency limit. Replaced check: OperatorHttp.AnswersARequestAndClosesTheConnection compares all figures and now expects the new one, too. Digests: 15 of 16 recorded sequences change, as admission decides otherwise there.

--- a/include/mothring/balancer.hpp
+++ b/include/mothring/balancer.hpp
@@ -33,13 +33,15 @@
     /// @param now  the time of the event; a time before that of the previous event is replaced by the latter.
     void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
-    /// The number of objects that the balancer currently holds.
+    /// The number of objects that the balancer currently holds, and a counter.
     struct Gauges {
         std::size_t requests = 0;
         std::size_t servers = 0;
         std::size_t timers = 0;
         /// Listed servers that are sent no requests: draining, ejected, or in an unreachable zone.
         std::size_t unavailable = 0;
+        /// Requests so far that ended early because their response was expected after their deadline.
+        std::uint64_t hopeless = 0;
     };
     Gauges gauges() const;
 
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -105,6 +105,7 @@
              {"in_flight", metrics.in_flight},
              {"scan_servers_known", metrics.servers_listed},
              {"scan_servers_excluded", metrics.servers_unavailable},
+             {"expected_late", metrics.requests_expected_late},
              {"list", list_json(metrics.list)}};
     if (metrics.cluster) all["cluster"] = cluster_json(*metrics.cluster);
     return all.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -49,6 +49,8 @@
     std::size_t servers_listed = 0;
     /// Number of listed servers that are sent no requests.
     std::size_t servers_unavailable = 0;
+    /// Number of requests that were refused or failed because their response was expected too late.
+    std::uint64_t requests_expected_late = 0;
     Discovery::State list;
     /// Absent: the membership is disabled.
     std::optional<cluster::AgentStatistics> cluster;
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -239,7 +239,9 @@
     metrics.in_flight = in_flight_.size();
     metrics.servers_listed = endpoints_.listed_count();
     metrics.list = endpoint_list_.state();
-    metrics.servers_unavailable = loop_.gauges().unavailable;
+    const Balancer::Gauges gauges = loop_.gauges();
+    metrics.servers_unavailable = gauges.unavailable;
+    metrics.requests_expected_late = gauges.hopeless;
     if (cluster_) metrics.cluster = cluster_->statistics();
     return metrics;
 }
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -21,7 +21,10 @@
 constexpr double kCapacityHeadroom = 1.25;
 /// The expected duration of an attempt, as a multiple of the mean duration.
 constexpr double kDurationMargin = 1.25;
-constexpr Millis kDurationWindow = 4 * kRateWindow;
+/// The number of recent responses of a class below which its mean duration says little.
+constexpr double kMinDurationSamples = 3;
+/// The time without an attempt after which one is sent although its response is expected too late.
+constexpr Millis kHopelessTrialInterval = 1000;
 /// The time constant of the short mean, as a multiple of the shortest latency objective.
 constexpr double kShortMeanObjectives = 3;
 /// A lower bound for the highest weight; prevents a division by zero if all weights are 0.
@@ -66,9 +69,12 @@
 }
 
 bool AdmissionController::is_hopeless(const Request& request, Millis now) const {
-    const auto duration = durations_.find(request.class_index);
-    return duration != durations_.end() &&
-           now + kDurationMargin * duration->second.value() > request.deadline;
+    const auto found = latencies_.find(request.class_index);
+    if (found == latencies_.end()) return false;
+    const ClassLatency& latency = found->second;
+    if (latency.samples.value_at(now) < kMinDurationSamples) return false;
+    if (now - latency.sent_at >= kHopelessTrialInterval) return false;
+    return now + kDurationMargin * latency.duration.value() > request.deadline;
 }
 
 void AdmissionController::refresh_capacity(Millis now) {
@@ -109,7 +115,10 @@
 }
 
 void AdmissionController::record_completion(std::uint32_t class_index, Millis duration, Millis now) {
-    durations_[class_index].add(duration, now, kMeanSamples, kDurationWindow);
+    ClassLatency& latency = latencies_[class_index];
+    latency.samples.add(1, now);
+    const double samples = std::min(kMeanSamples, latency.samples.value());
+    latency.duration.add(duration, now, samples, kDurationWindow);
 }
 
 double AdmissionController::in_flight() const { return std::max<double>(mean_in_flight_, in_flight_); }
--- a/src/policy/admission_controller.hpp
+++ b/src/policy/admission_controller.hpp
@@ -35,7 +35,8 @@
     bool may_admit(const Request& request) const;
 
     /// Returns whether the response is expected after the request's deadline. Sending such a request would
-    /// only load the servers.
+    /// only load the servers. The expectation needs several recent responses of the class. If no attempt of
+    /// the class has been sent for a while, one is allowed, so that a change of the servers' latency is seen.
     bool is_hopeless(const Request& request, Millis now) const;
 
     /// Lowers the limit if the number of warm servers has dropped sharply, e.g. after the loss of a zone. All
@@ -47,6 +48,8 @@
     void update_means(Millis now);
     void attempt_started() { ++in_flight_; }
     void attempt_ended() { --in_flight_; }
+    /// Records that an attempt of this class is sent, to any server.
+    void record_sent(std::uint32_t class_index, Millis now) { latencies_[class_index].sent_at = now; }
 
     /// Records the relative latency of an attempt.
     void record_relative_latency(double relative_latency, Millis now);
@@ -58,6 +61,16 @@
     double in_flight() const;
 
 private:
+    /// The time constant of the durations of completed attempts.
+    static constexpr Millis kDurationWindow = 4 * kRateWindow;
+
+    /// The latency of a class of requests.
+    struct ClassLatency {
+        DecayingMean duration;                 // of completed attempts
+        DecayingSum samples{kDurationWindow};  // the number of completed attempts
+        Millis sent_at = kLongAgo;             // the time at which an attempt was sent last
+    };
+
     double min_limit(Millis now) const;
 
     const Settings& settings_;
@@ -72,7 +85,7 @@
     Millis means_updated_at_ = 0;
     DecayingSum demand_{kRateWindow};  // the latency objectives of requests that are not retries
     MeanWithError relative_latency_{kMeanSamples};
-    std::map<std::uint32_t, DecayingMean> durations_;  // of completed attempts, by class
+    std::map<std::uint32_t, ClassLatency> latencies_;  // by class
 };
 
 }  // namespace mothring
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -86,6 +86,8 @@
     Millis now = 0;
     std::vector<Action>* actions = nullptr;  // the output of the event that is being handled
 
+    std::uint64_t hopeless = 0;  // the number of requests that ended because their response would be late
+
     RequestTable requests;
     EndpointSet endpoints{settings};
     ZoneHealth zones;
@@ -172,7 +174,10 @@
 /// Sends the request to a server, queues it until there is capacity, or sends its final answer.
 void Balancer::Impl::route(Request& request) {
     admission.update_means(now);
-    if (!request.is_in_flight() && admission.is_hopeless(request, now)) return finish(request);
+    if (!request.is_in_flight() && admission.is_hopeless(request, now)) {
+        ++hopeless;
+        return finish(request);
+    }
     admission.refresh_capacity(now);
     if (Endpoint* const endpoint = select(request)) return dispatch(request, *endpoint);
     if (request.is_in_flight()) return;
@@ -203,6 +208,7 @@
     if (endpoint.in_flight == 0) endpoint.activity.unresponsive_since = now;
     ++endpoint.in_flight;
     endpoints.join_subset(endpoint);
+    admission.record_sent(request.class_index, now);
 
     // A connection may take long to be established. A repeated attempt must reach its server before the
     // deduplication window ends, because the server drops the repeat only within that window.
@@ -356,7 +362,7 @@
 
 Balancer::Gauges Balancer::gauges() const {
     return {impl_->requests.size(), impl_->endpoints.all().size(), impl_->requests.timers(),
-            impl_->count_unavailable()};
+            impl_->count_unavailable(), impl_->hopeless};
 }
 
 }  // namespace mothring
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -50,7 +50,7 @@
     EXPECT_EQ(body, Json::parse(R"({"requests":{
         "listen":{"served":0,"refused":0,"failed":0},"deposit":{"served":0,"refused":0,"failed":0},
         "annotate":{"served":0,"refused":0,"failed":0}},
-        "attempts":0,"in_flight":0,"scan_servers_known":2,"scan_servers_excluded":0})"));
+        "attempts":0,"in_flight":0,"scan_servers_known":2,"scan_servers_excluded":0,"expected_late":0})"));
 }
 
 TEST_F(OperatorHttp, MetricsReportAgeAndVersionOfTheEndpointList) {
--- a/tests/policy/admission_controller_test.cpp
+++ b/tests/policy/admission_controller_test.cpp
@@ -71,6 +71,51 @@
     EXPECT_TRUE(harness.is_in_flight(in_time));
 }
 
+// Guards against a class that is rejected for good after one slow response: the first of a process, or the
+// first after a long quiet time.
+TEST(AdmissionController, OneSlowResponseDoesNotMakeRequestsHopeless) {
+    constexpr Millis kTimeLeft = 2500, kSlow = 2100, kFast = 260, kQuietTime = 90000;
+    PolicyHarness harness(make_settings());
+    harness.deliver_list(ListKind::full, make_servers(8));
+    for (int round = 0; round < 2; ++round) {
+        harness.end_attempt(harness.start_request(0, kTimeLeft), Outcome::completed, kSlow);
+        for (int i = 0; i < 20; ++i) {
+            const RequestId id = harness.start_request(0, kTimeLeft);
+            ASSERT_TRUE(harness.is_in_flight(id)) << "request " << i << " of round " << round;
+            harness.end_attempt(id, Outcome::completed, kFast);
+        }
+        harness.advance(kQuietTime);
+    }
+}
+
+// Guards against a class that is rejected for good after many slow responses: without attempts, the balancer
+// would never see that the servers are fast again.
+TEST(AdmissionController, TriesHopelessRequestsAtIntervals) {
+    constexpr Millis kTimeLeft = 2500, kShortTimeLeft = 1000, kSlow = 2100, kFast = 260, kInterval = 200;
+    PolicyHarness harness(make_settings());
+    harness.deliver_list(ListKind::full, make_servers(8));
+    for (int i = 0; i < 20; ++i)
+        harness.end_attempt(harness.start_request(0, kTimeLeft), Outcome::completed, kSlow);
+    const RequestId trial = harness.start_request(0, kShortTimeLeft);
+    EXPECT_TRUE(harness.is_in_flight(trial)) << "the last attempt was sent 2.1 s ago";
+    EXPECT_TRUE(harness.was_rejected(harness.start_request(0, kShortTimeLeft)));
+    harness.end_attempt(trial, Outcome::completed, kFast);
+    const auto count_sent = [&](int requests) {
+        int sent = 0;
+        for (int i = 0; i < requests; ++i) {
+            const RequestId id = harness.start_request(0, kShortTimeLeft);
+            sent += harness.is_in_flight(id) ? 1 : 0;
+            if (harness.is_in_flight(id)) harness.end_attempt(id, Outcome::completed, kFast);
+            harness.advance(kInterval);
+        }
+        return sent;
+    };
+    EXPECT_GE(count_sent(20), 2) << "within 4 s";
+    count_sent(130);
+    EXPECT_EQ(count_sent(20), 20) << "half a minute after the servers have recovered";
+    EXPECT_GT(harness.balancer.gauges().hopeless, 0U);
+}
+
 // Guards against responses of silent servers that use up the limit, so that requests for other servers are
 // rejected.
 TEST(AdmissionController, StalledResponsesDoNotUseTheLimit) {
--- a/tests/policy/recorded_sequence_test.cpp
+++ b/tests/policy/recorded_sequence_test.cpp
@@ -18,10 +18,10 @@
 constexpr int kRequests = 2000;
 /// The digests of the sequences with the seeds 1, 2, 3 and so on.
 constexpr std::uint64_t kDigests[] = {
-    0xf760315f4bfe18a7, 0x4c370b8e7b645124, 0xdc78fee4476a2d61, 0xd4de5f26ce353b3c,
-    0xcefd9535374e8a4b, 0xbba2a1c779b42ac7, 0xba666aeafc1cd4d1, 0xee2482682f6bb58f,
-    0x6d76ffa4f87dd400, 0x965daf618f6e2632, 0x8cedce979707463b, 0x3bcbabef8c21b022,
-    0x1bcb7c7d6d689382, 0x3e10b1329453b305, 0x4a0ef8582b04b228, 0xbf33f78e49a1838a};
+    0x214c6b67b818f0e7, 0xee8b72deda21b8f4, 0x94a58e1052d847f1, 0x35c736668f7cffd6,
+    0x6e99f1ea430c20a6, 0x1bf84ca413d15469, 0x543c7c2275d08335, 0x9bdcd981dfbe891e,
+    0x021d4ce783901764, 0x965daf618f6e2632, 0x3f254fdebe58d1fb, 0x105e483935d262b8,
+    0x0bc85f57a34fa676, 0x5769cf398ba9896e, 0xcf4b844a2e1092e0, 0x469a982deb1e2daf};
 
 TEST(RecordedSequence, TakesTheSameActions) {
     std::map<char, int> actions;
