Schedule one read at a time when a body's buffer has space again

Cause: each forwarded part of a body scheduled a read, which forwarded several and scheduled as many. Change: a read is scheduled only if reading stopped for lack of space, in both directions; a turn ends after 64 steps. FastTransfer.Upload... gets no answer in 600 turns before the fix and passes with it; FastTransfer.LongResponse... passes before, too.

--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -193,6 +193,7 @@
     BodyArrival body_arrival_;
     Millis client_timeout_ = 0;
     std::optional<TimePoint> paused_since_;  // while reading of the body is paused
+    bool is_reading_paused_ = false;         // until the body has buffer space
 
     TimePoint active_at_;
     TimePoint time_limit_;  // the epoch if there is no limit
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr std::size_t kBodyReadSize = 16 * 1024;  // bytes read at a time
-constexpr int kMaxConsecutiveReads = 8;           // then other connections are served first
+constexpr int kMaxReadsPerTurn = 8;               // then other connections are served first
+constexpr int kMaxStepsPerTurn = 64;              // reads and parsed parts; a client may send tiny parts
 constexpr std::size_t kHeadCopies = 2;            // the head itself and the one that is forwarded
 constexpr Millis kUnreadCountInterval = 50;       // while reading is paused
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -60,14 +61,16 @@
 
 // Reads and parses while bytes are available and there is buffer space for them.
 void Connection::read() {
-    for (int reads = 0; is_reading(); ++reads) {
+    int reads = 0;
+    for (int steps = 0; is_reading(); ++steps) {
         if (is_receiving_body() && body_->free_space() == 0) return wait_for_body_space();
+        if (steps >= kMaxStepsPerTurn || reads >= kMaxReadsPerTurn) return read_later();
         if (parser_.buffered() > 0) {
             if (!parse()) return;
-            continue;
+        } else {
+            if (!receive()) return;
+            ++reads;
         }
-        if (reads >= kMaxConsecutiveReads) return read_later();
-        if (!receive()) return;
     }
 }
 
@@ -220,6 +223,7 @@
 bool Connection::start_body() {
     state_ = State::reading_body;
     paused_since_.reset();
+    is_reading_paused_ = false;
     body_ = std::make_shared<net::BodyBuffer>(owner_->body_budget(), parser_.content_length());
     body_->on_writable = [weak = weak_from_this(), this] {
         if (const auto connection = weak.lock()) on_body_space();
@@ -247,13 +251,15 @@
     paused_since_.reset();
     timeouts_.resume_body(SteadyClock::now());
     limit_body_time();
-    asio::post(socket_.get_executor(), if_open([this] { read(); }));
+    // Only one read may be scheduled at a time: each of them could schedule several others.
+    if (std::exchange(is_reading_paused_, false)) read_later();
 }
 
 // Pauses reading while the body buffer is full; on_body_space() resumes it. The sidecar causes this delay, so
 // the time limit for the client's sending does not apply. If the last byte has not arrived yet, the unread
 // time counts from now at the earliest.
 void Connection::wait_for_body_space() {
+    is_reading_paused_ = true;
     const std::size_t unread_in_socket = count_unread_in_socket();
     const std::uint64_t here = body_->bytes_written() + parser_.buffered() + unread_in_socket;
     if (!body_->length || here < *body_->length) unread_ages_.note_all_read();
--- a/src/node/upstream_response_reader.cpp
+++ b/src/node/upstream_response_reader.cpp
@@ -65,7 +65,10 @@
     UpstreamConnection& connection = exchange->connection();
     int steps = 0;
     while (exchange->is_in_progress()) {
-        if (body_ && body_->free_space() == 0) return on_body_full();
+        if (body_ && body_->free_space() == 0) {
+            is_reading_paused_ = true;
+            return on_body_full();
+        }
         if (connection.received().size() > 0) {
             if (!parse()) return;
         } else if (steps >= kMaxStepsPerTurn) {
@@ -257,7 +260,8 @@
 /// Resumes reading after the reader of a streamed response has freed space in the buffer.
 void UpstreamResponseReader::on_body_writable() {
     UpstreamConnection& connection = exchange_.connection();
-    if (!connection.is_open() || connection.is_waiting_readable()) return;
+    // Only one read may be scheduled at a time.
+    if (!connection.is_open() || !std::exchange(is_reading_paused_, false)) return;
     asio::post(connection.socket().get_executor(), [this, exchange = exchange_.shared_from_this()] {
         UpstreamConnection& reopened = exchange->connection();
         if (!reopened.is_open() || reopened.is_waiting_readable() || !is_streaming_) return;
--- a/src/node/upstream_response_reader.hpp
+++ b/src/node/upstream_response_reader.hpp
@@ -57,6 +57,7 @@
     std::shared_ptr<net::BodyBuffer> body_;
     std::optional<net::HeadMemory> head_memory_;
     bool is_streaming_ = false;
+    bool is_reading_paused_ = false;  // until the body has buffer space
 };
 
 }  // namespace mothring::node
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -100,6 +100,76 @@
     EXPECT_EQ(count_requests("failed"), static_cast<int>(count));
 }
 
+// A transfer at full speed may delay other clients only by a few turns of the event loop.
+struct FastTransfer : Stream {
+    static constexpr std::size_t kMaxTurns = 300;
+    std::list<RawPeer> peers;
+
+    /// Keeps a transfer going and returns after how many turns another client is answered.
+    std::size_t turns_until_answer(const std::function<void()>& transfer) {
+        constexpr std::size_t kWarmUpTurns = 200;
+        run_turns(kWarmUpTurns, transfer);
+        RawPeer other(io, sidecar->address());
+        other.out = "GET /_health HTTP/1.1\r\n\r\n";
+        other.write();
+        std::size_t turns = 0;
+        while (other.in.empty() && turns < 2 * kMaxTurns) {
+            run_turns(1, transfer);
+            other.read();
+            ++turns;
+        }
+        return turns;
+    }
+    void run_turns(std::size_t count, const std::function<void()>& transfer) {
+        for (std::size_t i = 0; i < count; ++i) {
+            transfer();
+            io.restart();
+            io.poll_one();
+        }
+    }
+};
+
+// Guards against a client that sends a body in tiny chunks at full speed and so keeps the event loop from all
+// others, while memory grows.
+TEST_F(FastTransfer, UploadInTinyChunksDoesNotDelayOtherClients) {
+    start_raw();
+    RawPeer& client = peers.emplace_back(io, sidecar->address());
+    client.out = replace_first(request("deposit", "id-1"), "Content-Length: 0", "Transfer-Encoding: chunked");
+    client.out += "11170\r\n" + std::string(70000, 'a') + "\r\n";  // forwarded before it is complete
+    exchange_until(peers, [&] {
+        return !servers.empty() && body_of(servers.front().in).size() > 70000 && client.out.empty();
+    });
+    std::string tiny;
+    for (int i = 0; i < 20000; ++i) tiny += "1\r\nx\r\n";
+    EXPECT_LT(turns_until_answer([&] {
+                  if (client.out.empty()) client.out = tiny;
+                  client.write();
+                  servers.front().read();
+                  servers.front().in.clear();
+              }),
+              kMaxTurns);
+}
+
+// The same for a response.
+TEST_F(FastTransfer, LongResponseDoesNotDelayOtherClients) {
+    start_raw();
+    RawPeer& client = peers.emplace_back(io, sidecar->address());
+    client.out = request("listen", "id-1");
+    exchange_until(peers, [&] { return !servers.empty() && !servers.front().in.empty(); });
+    servers.front().out =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + std::string(70000, 'a') + "\r\n";
+    exchange_until(peers, [&] { return client.in.size() > 70000; });
+    std::string tiny;
+    for (int i = 0; i < 20000; ++i) tiny += "1\r\nx\r\n";
+    EXPECT_LT(turns_until_answer([&] {
+                  if (servers.front().out.empty()) servers.front().out = tiny;
+                  servers.front().write();
+                  client.read();
+                  client.in.clear();
+              }),
+              kMaxTurns);
+}
+
 // Guards against a truncated response that looks complete to the client, and against a retry after the
 // response has begun.
 TEST_F(Stream, ClientDetectsTruncatedResponse) {
