Send nothing more while unread bytes may hide that the client has left

Cause: the end of the client's stream follows the unread bytes; while the receive window is full, the client's kernel keeps it (ss: FIN-WAIT-1 with 949,371 bytes to send), so has_client_left() sees nothing. Change: with 32 KiB or more unread behind a request and the client not seen for 50 ms, the last byte of an upload is kept back and it gets a 503 (request.client_unseen), and no attempt begins.

--- a/src/node/downstream_connection.cpp
+++ b/src/node/downstream_connection.cpp
@@ -22,7 +22,9 @@
 constexpr Millis kStallCheckInterval = 500;  // at which a stalled connection looks for the client's end
 constexpr Millis kLingerTimeout = 300;       // for the client to close after our shutdown
 constexpr Millis kMaxLingerTimeout = 3000;   // the same in total, if the client keeps sending
-constexpr Millis kLongIdleTime = 2000;       // after it, an idle connection is evicted earlier
+constexpr std::size_t kMaxVisibleUnread = 32 * 1024;  // half of the smallest receive window on Linux
+constexpr Millis kMaxUnseenTime = 50;   // a client may be sent for after its end for up to 100 ms
+constexpr Millis kLongIdleTime = 2000;  // after it, an idle connection is evicted earlier
 
 Response plain_response(http::status status) {
     Response response(status, kHttp11);
@@ -52,6 +54,7 @@
 
 void Connection::start() {
     active_at_ = SteadyClock::now();
+    client_seen_at_ = active_at_;
     set_time_limit(timeouts_.on_connected(active_at_));
     wait_readable();
 }
@@ -76,6 +79,14 @@
     return (net::poll_events(socket_.native_handle(), kEnded) & kEnded) != 0;
 }
 
+// Until a limit, unread bytes leave the client's machine room to deliver the end of the stream. A client that
+// has closed its connection also resets it when something is written.
+bool Connection::may_have_left_unseen() {
+    const TimePoint now = SteadyClock::now();
+    if (count_unread_in_socket() < kMaxVisibleUnread) client_seen_at_ = now;
+    return now - client_seen_at_ > net::to_duration(kMaxUnseenTime);
+}
+
 Millis Connection::unread_time() const { return unread_ages_.age(SteadyClock::now()); }
 
 EvictionRank Connection::eviction_rank() const {
@@ -181,6 +192,7 @@
     if (!keep_alive || leaves_unread || was_last || is_drained) return shut_down(kMaxLingerTimeout);
     state_ = State::idle;
     active_at_ = SteadyClock::now();
+    client_seen_at_ = active_at_;
     note_next_request();
     owner_->on_idle();
     if (parser_.buffered() > 0) return read();
--- a/src/node/downstream_connection.hpp
+++ b/src/node/downstream_connection.hpp
@@ -95,6 +95,10 @@
     /// Returns whether the client has closed its sending side. Detects this also behind unread bytes, where
     /// peeking at the stream would show only the bytes.
     bool has_client_left();
+    /// Returns whether the client may have closed its sending side unseen. The end of the stream follows the
+    /// bytes that the client's machine could not deliver yet, so many unread bytes hide it. Must be called
+    /// only if has_client_left() has returned false.
+    bool may_have_left_unseen();
     /// Returns how long the bytes read last, or next, may have been waiting unread.
     Millis unread_time() const;
 
@@ -196,7 +200,8 @@
     bool is_reading_paused_ = false;         // until the body has buffer space
 
     TimePoint active_at_;
-    TimePoint time_limit_;  // the epoch if there is no limit
+    TimePoint client_seen_at_;  // when the client was known last not to have closed its connection
+    TimePoint time_limit_;      // the epoch if there is no limit
     TimePoint shutdown_time_limit_;
     bool is_waiting_readable_ = false;
     bool is_awaiting_server_ = false;  // all received bytes of a streamed response are written
--- a/src/node/downstream_connection_reading.cpp
+++ b/src/node/downstream_connection_reading.cpp
@@ -47,7 +47,8 @@
 }
 
 void Connection::on_readable() {
-    if (state_ == State::shutting_down) return;  // discard() reads
+    if (state_ == State::shutting_down) return;                       // discard() reads
+    if (state_ == State::idle) client_seen_at_ = SteadyClock::now();  // its bytes have just arrived
     if (is_reading_head() || is_receiving_body()) return read();
     // A pipelined request stays in the socket until the current one has its response.
     const error_code error = peek();
@@ -148,6 +149,12 @@
         close();
         return false;
     }
+    if (ends_forwarded_body && may_have_left_unseen()) {
+        net::log(net::LogLevel::info, "request.client_unseen",
+                 {{"request", std::string((*head_)["Request-Id"])}, {"unread", count_unread()}});
+        reject(http::status::service_unavailable);
+        return false;
+    }
     if (step.body_bytes > 0) body->commit(step.body_bytes);
     return handle_step(step);
 }
--- a/src/node/downstream_listener.cpp
+++ b/src/node/downstream_listener.cpp
@@ -173,6 +173,11 @@
     return true;
 }
 
+bool DownstreamListener::may_have_left_unseen(RequestId request) {
+    const auto at = requests_.find(request);
+    return at != requests_.end() && at->second->may_have_left_unseen();
+}
+
 Millis DownstreamListener::unread_time(RequestId request) const {
     const auto at = requests_.find(request);
     return at == requests_.end() ? 0 : at->second->unread_time();
--- a/src/node/downstream_listener.hpp
+++ b/src/node/downstream_listener.hpp
@@ -44,6 +44,8 @@
     /// unread bytes precede the end of the stream. If so, a later turn of the event loop closes the
     /// connection and reports the client as disconnected.
     bool has_client_left(RequestId request);
+    /// Returns whether the client of a request that waits for its response may have left unseen.
+    bool may_have_left_unseen(RequestId request);
     /// Returns how long bytes of a partly received request may have been waiting unread for buffer space; 0
     /// if none have.
     Millis unread_time(RequestId request) const;
