Reset the connection of a given-up attempt whose request is partly unsent

Cause: UpstreamConnection::cancel() closed the connection, and the kernel went on to send up to 4 MiB that it held. Change: a reset if bytes have not reached the server.

--- a/src/net/socket_errors.hpp
+++ b/src/net/socket_errors.hpp
@@ -2,7 +2,9 @@
 /// Classification of socket errors: local to this machine, specific to one connection, or transient.
 #pragma once
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
@@ -93,6 +95,12 @@
     int in_a_row_ = 0;
 };
 
+/// Returns whether bytes that were written to a socket have not reached the other machine yet.
+inline bool has_unsent_bytes(int socket) {
+    int bytes = 0;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /// Polls a descriptor without blocking.
 /// @return the requested events that are pending now, with POLLHUP and POLLERR always included.
 inline short poll_events(int descriptor, short events) {
--- a/src/node/request_forwarder.cpp
+++ b/src/node/request_forwarder.cpp
@@ -188,6 +188,8 @@
     }
     // The unread bytes of an incomplete request are its own.
     if (request->is_complete() && parts_.listener->may_have_left_unseen(send.id)) return false;
+    // The unread bytes of an incomplete request are its own.
+    if (request->is_complete() && parts_.listener->may_have_left_unseen(send.id)) return false;
     if (!parts_.endpoints.is_active(send.server)) return false;
     const Millis now = parts_.clock.now();
     const Millis unread_time = request->is_complete() ? 0 : parts_.listener->unread_time(send.id);
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -98,6 +98,11 @@
 bool UpstreamConnection::cancel() {
     const auto exchange = std::exchange(exchange_, nullptr);
     const auto streamed_body = exchange ? exchange->detach_bodies() : nullptr;
+    // Bytes that the server has not received would still be sent after a plain close, and the request would
+    // run.
+    error_code ignored;
+    if (exchange && net::has_unsent_bytes(socket_.native_handle()))
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     close();
     if (streamed_body) streamed_body->mark_truncated();
     return exchange && exchange->writer().is_written();
--- a/tests/departed_client_test.cpp
+++ b/tests/departed_client_test.cpp
@@ -64,5 +64,23 @@
     until([&] { return sidecar->request_count() == 0 && sidecar->metrics().in_flight == 0; });
 }
 
+// Guards against an attempt that was given up and still reaches its server whole from the kernel's buffer.
+TEST_F(DepartedClient, GivenUpUploadIsNotSentOn) {
+    constexpr std::size_t kLength = 1 << 20;
+    start_raw();
+    std::list<RawPeer> peers;
+    RawPeer& client = peers.emplace_back(io, sidecar->address());
+    client.out = request("deposit", "id-1", 20000, std::string(kLength, 'a'));
+    raw.set_option(asio::socket_base::receive_buffer_size(16384));
+    ASSERT_TRUE(write_until_stuck(client));
+    until([&] { return sidecar->metrics().attempts == 1; });  // all bytes are in the kernel's buffers
+    peers.clear();
+    until([&] { return sidecar->request_count() == 0; });
+    ASSERT_EQ(servers.size(), 1u);
+    RawPeer& server = servers.front();
+    until([&] { return server.read(), server.ended; });
+    EXPECT_LT(body_of(server.in).size(), kLength);
+}
+
 }  // namespace
 }  // namespace mothring::node::test
