--- a/include/mothring/events.hpp
+++ b/include/mothring/events.hpp
@@ -80,6 +80,14 @@
     std::optional<Millis> retry_after{};
 };
 
+/// An attempt at a request that came before under the same id, or at another process of this sidecar.
+struct EarlierAttempt {
+    /// EndpointInfo::name_hash of its server.
+    std::uint64_t server_name_hash = 0;
+    /// The time since it was sent.
+    Millis age = 0;
+};
+
 /// A request from a client. The balancer gives it exactly one final answer.
 struct RequestArrived {
     RequestId id = 0;
@@ -98,6 +106,8 @@
     bool body_incomplete = false;
     /// A hash of the request's affinity key, which is the same at every sidecar; 0 if it has none.
     std::uint64_t affinity_hash = 0;
+    /// An earlier attempt that has ended and may have run the request.
+    std::optional<EarlierAttempt> earlier_attempt{};
 };
 
 /// The last byte of a request has arrived (see RequestArrived::body_incomplete).
--- a/src/node/request_forwarder.cpp
+++ b/src/node/request_forwarder.cpp
@@ -13,6 +13,14 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+std::string request_id_of(const DownstreamListener::RequestHead& head) {
+    return std::string(head["Request-Id"]);
+}
+
+}  // namespace
+
 // ---- Requests ---------------------------------------------------------------------------------------------
 
 void RequestForwarder::on_request(DownstreamListener::IncomingRequest incoming) {
@@ -27,6 +35,12 @@
         return parts_.listener->respond(incoming.id, empty_response(http::status::not_found));
     if (!has_form_of_class(classes[event.class_index], *incoming.message, incoming.body != nullptr))
         return parts_.listener->respond(incoming.id, empty_response(http::status::bad_request));
+    const auto earlier = find_earlier(incoming, event.class_index);
+    if (earlier && earlier->in_flight) {
+        net::log(net::LogLevel::info, "request.repeated", {{"request", request_id_of(*incoming.message)}});
+        return parts_.listener->respond(incoming.id, empty_response(http::status::conflict));
+    }
+    if (earlier) event.earlier_attempt = EarlierAttempt{earlier->server, earlier->age};
     if (!incoming.tenant.empty()) event.tenant = site.tenant_index(incoming.tenant);
     event.time_left = parts_.shutdown.limit(incoming.time_left);
     event.effort = incoming.effort;
@@ -38,9 +52,37 @@
     request.body = std::move(incoming.body);
     request.class_index = event.class_index;
     request.time_left = incoming.time_left;
+    request.may_have_run = earlier.has_value();
     admit(event);
 }
 
+// Returns what is known of an earlier request with the same id. Requests that may run any number of times are
+// not remembered.
+std::optional<AttemptHistory::Entry> RequestForwarder::find_earlier(
+    const DownstreamListener::IncomingRequest& incoming, std::uint32_t class_index) const {
+    if (!is_remembered(class_index)) return std::nullopt;
+    return parts_.history.find(request_id_of(*incoming.message));
+}
+
+bool RequestForwarder::is_remembered(std::uint32_t class_index) const {
+    return parts_.config.site.settings.classes[class_index].idempotency != Idempotency::always;
+}
+
+// Records the end of an attempt, and that of the request if it has no other one in flight and none that may
+// have run.
+void RequestForwarder::record_end(Request& request, Outcome outcome) {
+    if (!is_remembered(request.class_index)) return;
+    const Settings& settings = parts_.config.site.settings;
+    const bool never_ran = outcome == Outcome::connect_failed || outcome == Outcome::not_sent ||
+                           (outcome == Outcome::overloaded && !settings.overloaded_may_have_run);
+    request.may_have_run = request.may_have_run || !never_ran;
+    if (request.has_attempt_in_flight()) return;
+    if (request.may_have_run)
+        parts_.history.end(request_id_of(*request.head));
+    else
+        parts_.history.remove(request_id_of(*request.head));
+}
+
 // Reports a new request to the Balancer. An incomplete request counts as in flight from its last byte on, and
 // its time starts with that byte.
 void RequestForwarder::admit(const RequestArrived& arrival) {
@@ -72,9 +114,8 @@
 void RequestForwarder::on_body_overdue(RequestId id) {
     Request* const request = parts_.requests.find_open(id);
     if (request == nullptr) return;
-    net::log(
-        net::LogLevel::warn, "request.body_overdue",
-        {{"request", std::string((*request->head)["Request-Id"])}, {"read", request->body->bytes_written()}});
+    net::log(net::LogLevel::warn, "request.body_overdue",
+             {{"request", request_id_of(*request->head)}, {"read", request->body->bytes_written()}});
     request->deadline = parts_.clock.now();
     const std::size_t attempt_count = request->attempts.size();
     parts_.loop.handle(BodyComplete{id, 0});
@@ -166,8 +207,7 @@
 void RequestForwarder::log_chosen(const SendAttempt& send, const Request& request) const {
     if (!net::is_logged(net::LogLevel::debug)) return;
     net::log(net::LogLevel::debug, "attempt.chosen",
-             {{"request", std::string((*request.head)["Request-Id"])},
-              {"server", parts_.endpoints.name_of(send.server)}});
+             {{"request", request_id_of(*request.head)}, {"server", parts_.endpoints.name_of(send.server)}});
 }
 
 Millis RequestForwarder::deadline_of(const SendAttempt& send, const Request& request) {
@@ -188,8 +228,6 @@
     }
     // The unread bytes of an incomplete request are its own.
     if (request->is_complete() && parts_.listener->may_have_left_unseen(send.id)) return false;
-    // The unread bytes of an incomplete request are its own.
-    if (request->is_complete() && parts_.listener->may_have_left_unseen(send.id)) return false;
     if (!parts_.endpoints.is_active(send.server)) return false;
     const Millis now = parts_.clock.now();
     const Millis unread_time = request->is_complete() ? 0 : parts_.listener->unread_time(send.id);
@@ -197,6 +235,8 @@
     const Millis time_left = std::floor(std::min(request->time_left - unread_time, until_deadline));
     if (time_left < 1 || (send.send_by > 0 && now >= send.send_by)) return false;
     set_time_left(head, time_left);
+    if (is_remembered(request->class_index))
+        parts_.history.add(request_id_of(*request->head), parts_.endpoints.name_of(send.server));
     return true;
 }
 
@@ -233,8 +273,7 @@
 void RequestForwarder::fail_long_response(const AttemptKey& key) {
     const Request& request = parts_.requests.at(key.request);
     const ExchangeId exchange = request.attempts[key.attempt].exchange;
-    net::log(net::LogLevel::warn, "drain.long_response",
-             {{"request", std::string((*request.head)["Request-Id"])}});
+    net::log(net::LogLevel::warn, "drain.long_response", {{"request", request_id_of(*request.head)}});
     respond(key.request, empty_response(http::status::bad_gateway));
     parts_.upstream.cancel(exchange);
     end_attempt(key, Outcome::completed);
@@ -243,7 +282,7 @@
 void RequestForwarder::on_response_stalled(RequestId id) {
     const Request* const request = parts_.requests.find(id);
     if (request == nullptr) return;
-    const std::string request_id((*request->head)["Request-Id"]);
+    const std::string request_id = request_id_of(*request->head);
     for_each_in_flight(id, request->attempts.size(), [&](const AttemptKey& key, const Attempt& attempt) {
         if (!attempt.has_response_started()) return;
         net::log(net::LogLevel::info, "response.stalled",
@@ -261,6 +300,7 @@
     Attempt& attempt = request->attempts[key.attempt];
     if (!attempt.in_flight) return;
     attempt.in_flight = false;
+    record_end(*request, outcome);
     const Millis end = attempt.has_response_started() ? attempt.response_started_at : parts_.clock.now();
     const Millis duration = std::max(0.0, end - std::max(attempt.sent_at, request->complete_at));
     AttemptEnded event{key.request, key.attempt, outcome, duration, request->has_ended};
--- a/src/node/request_forwarder.hpp
+++ b/src/node/request_forwarder.hpp
@@ -10,6 +10,7 @@
 #include "config/config.hpp"
 #include "mothring/actions.hpp"
 #include "net/clock.hpp"
+#include "node/attempt_history.hpp"
 #include "node/downstream_listener.hpp"
 #include "node/endpoint_directory.hpp"
 #include "node/event_loop.hpp"
@@ -30,6 +31,7 @@
     EndpointDirectory& endpoints;
     UpstreamPool& upstream;
     const GracefulShutdown& shutdown;
+    AttemptHistory& history;
     /// Must hold a value while the table contains a request.
     std::optional<DownstreamListener>& listener;
 };
@@ -73,6 +75,10 @@
         std::uint32_t attempt = 0;
     };
 
+    bool is_remembered(std::uint32_t class_index) const;
+    std::optional<AttemptHistory::Entry> find_earlier(const DownstreamListener::IncomingRequest& incoming,
+                                                      std::uint32_t class_index) const;
+    void record_end(Request& request, Outcome outcome);
     void admit(const RequestArrived& arrival);
     void respond(RequestId id, DownstreamListener::Response response);
     void send_response(RequestId id, DownstreamListener::Response response);
--- a/src/node/request_table.hpp
+++ b/src/node/request_table.hpp
@@ -46,6 +46,8 @@
     std::vector<Attempt> attempts;
     /// Whether the final response has started, or the client has left.
     bool has_ended = false;
+    /// Whether a server may have run it, in an attempt that has ended, or an earlier request with its id.
+    bool may_have_run = false;
 
     bool is_complete() const { return complete_at > 0; }
     bool has_attempt_in_flight() const;
--- a/src/node/sidecar.cpp
+++ b/src/node/sidecar.cpp
@@ -34,6 +34,16 @@
     return limits;
 }
 
+std::string instance_name(const net::Tcp::endpoint& listen) {
+    return listen.address().to_string() + "-" + std::to_string(listen.port());
+}
+
+// Returns the file that the processes of a sidecar share, or nothing if there can be no other process.
+std::optional<std::string> history_path(const config::Config& config) {
+    if (!config.operators || config.listen.port() == 0) return std::nullopt;
+    return AttemptHistory::path_of(HotRestartLock::temporary_folder(), instance_name(config.listen));
+}
+
 }  // namespace
 
 Sidecar::Sidecar(boost::asio::io_context& io, config::Config config)
@@ -48,8 +58,9 @@
       metrics_(config_.site.classes),
       in_flight_(metrics_),
       shutdown_(io, clock_, config_.longest_deadline, in_flight_),
-      forwarder_(
-          {config_, clock_, loop_, requests_, in_flight_, endpoints_, upstream_, shutdown_, listener_}),
+      history_(history_path(config_)),
+      forwarder_({config_, clock_, loop_, requests_, in_flight_, endpoints_, upstream_, shutdown_, history_,
+                  listener_}),
       health_checker_({io, clock_, loop_, endpoints_, upstream_}, config_.may_probe),
       executor_({clock_, loop_, forwarder_, health_checker_, upstream_, endpoint_list_, endpoints_, peers_}),
       overdue_sweep_(io, clock_, requests_, [this](RequestId id) { forwarder_.time_out(id); }),
@@ -92,9 +103,8 @@
 /// A port that the system chooses is not shared with another process, so there is nothing to monitor.
 void Sidecar::start_hot_restart_monitor() {
     if (config_.listen.port() == 0) return;
-    const std::string name =
-        config_.listen.address().to_string() + "-" + std::to_string(config_.listen.port());
-    hot_restart_.emplace(io_, name, [this](bool may_overlap) { set_process_overlap(may_overlap); });
+    hot_restart_.emplace(io_, instance_name(config_.listen),
+                         [this](bool may_overlap) { set_process_overlap(may_overlap); });
     hot_restart_->start();
 }
 
--- a/src/node/sidecar.hpp
+++ b/src/node/sidecar.hpp
@@ -14,6 +14,7 @@
 #include "net/clock.hpp"
 #include "net/log.hpp"
 #include "node/action_executor.hpp"
+#include "node/attempt_history.hpp"
 #include "node/downstream_listener.hpp"
 #include "node/endpoint_directory.hpp"
 #include "node/endpoint_list_updater.hpp"
@@ -107,6 +108,7 @@
     Metrics metrics_;
     InFlightRequests in_flight_;
     GracefulShutdown shutdown_;
+    AttemptHistory history_;
     RequestForwarder forwarder_;
     HealthChecker health_checker_;
     ActionExecutor executor_;
--- a/src/policy/attempt_rules.cpp
+++ b/src/policy/attempt_rules.cpp
@@ -51,6 +51,7 @@
     if (!first) return true;
     if (request_class.idempotency == Idempotency::never) return false;
     if (now >= first->sent_at + request_class.dedup_window) return false;
+    if (!share_dedup_scope(request_class.dedup_scope, first->server, server)) return false;
     return std::all_of(request.attempts.begin(), request.attempts.end(), [&](const Attempt& attempt) {
         return !attempt.may_have_run || share_dedup_scope(request_class.dedup_scope, attempt.server, server);
     });
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -41,6 +41,10 @@
 /// the client is more useful than a longer wait.
 constexpr double kMaxWaitShareOfObjective = 1.0 / 16;
 
+/// The zone and the cell of a server that is not known.
+constexpr ZoneId kNoZone = ~ZoneId{0};
+constexpr std::uint32_t kNoCell = ~0U;
+
 Settings validated(Settings settings) {
     validate(settings);
     return settings;
@@ -69,6 +73,7 @@
 
     void handle_list_failure(const EndpointList& failed);
     void classify(Request& request, const RequestArrived& event);
+    std::optional<Attempt> earlier_attempt(const RequestArrived& event) const;
     void route(Request& request);
     Endpoint* select(const Request& request);
     void dispatch(Request& request, Endpoint& endpoint);
@@ -159,6 +164,7 @@
     request.class_index = event.class_index;
     request.is_retry = event.is_retry;
     request.affinity_hash = event.affinity_hash;
+    request.earlier_attempt = earlier_attempt(event);
     RequestClass& request_class = request.request_class;
     if (event.class_index < settings.classes.size()) {
         request_class = settings.classes[event.class_index];
@@ -171,6 +177,19 @@
     request.over_quota = quotas.is_over_quota(event.tenant, random, now);
 }
 
+/// Returns the earlier attempt of a request. A server that is not known is in no zone and no cell.
+std::optional<Attempt> Balancer::Impl::earlier_attempt(const RequestArrived& event) const {
+    if (!event.earlier_attempt) return std::nullopt;
+    Attempt attempt{{}, now - event.earlier_attempt->age};
+    attempt.in_flight = false;
+    attempt.server.zone = kNoZone;
+    attempt.server.cell = kNoCell;
+    for (const auto& [id, endpoint] : endpoints.all())
+        if (endpoint.info.name_hash == event.earlier_attempt->server_name_hash)
+            attempt.server = endpoint.info;
+    return attempt;
+}
+
 /// Sends the request to a server, queues it until there is capacity, or sends its final answer.
 void Balancer::Impl::route(Request& request) {
     admission.update_means(now);
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "mothring/events.hpp"
@@ -52,6 +53,8 @@
     /// The time until which the request may wait for capacity; after it the request gets a final answer.
     Millis wait_until = 0;
     std::vector<Attempt> attempts;
+    /// The attempt at an earlier request with the same id, which may have run.
+    std::optional<Attempt> earlier_attempt;
 
     bool is_in_flight() const {
         return std::any_of(attempts.begin(), attempts.end(),
@@ -60,6 +63,7 @@
 
     /// Returns the first attempt that may have run, or null if there is none.
     const Attempt* first_possible_run() const {
+        if (earlier_attempt) return &*earlier_attempt;
         const auto found = std::find_if(attempts.begin(), attempts.end(),
                                         [](const Attempt& attempt) { return attempt.may_have_run; });
         return found == attempts.end() ? nullptr : &*found;
--- a/tests/recorded_conversation_rig.hpp
+++ b/tests/recorded_conversation_rig.hpp
@@ -194,6 +194,10 @@
 inline const std::string post =
     "POST /deposit/item HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: id-1\r\n"
     "Request-Timeout-Ms: 5000\r\n";
+/// Returns `post` with another request id: each request of a client has its own.
+inline std::string post_with_id(int number) {
+    return replace_first(post, "id-1", "id-" + std::to_string(number));
+}
 inline const std::string annotate =
     "POST /annotate HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: id-1\r\n"
     "Idempotency-Key: key-1\r\nRequest-Timeout-Ms: 5000\r\nContent-Length: 4\r\n\r\n"
