--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <limits>
 #include <new>
+#include <ostream>
 #include <set>
 #include <variant>
 
@@ -349,6 +350,8 @@
     std::string response{};
 };
 
+void PrintTo(const Crowd& crowd, std::ostream* out) { *out << crowd.name; }
+
 std::string times(const std::string& text, int count) {
     std::string all;
     for (int i = 0; i < count; ++i) all += text;
--- a/tests/stalled_upload_test.cpp
+++ b/tests/stalled_upload_test.cpp
@@ -87,6 +87,22 @@
     expect_refusal_in_time(client);
 }
 
+// Guards against a final answer that comes late because the server reads the request slowly, without a long
+// pause.
+TEST_P(StalledUpload, IsAnsweredInTimeIfServerReadsSlowly) {
+    constexpr std::size_t kPiece =
+        16384;  // each time, which is far too little to get all of the body in time
+    constexpr milliseconds kPause{50};
+    std::list<RawPeer> clients;
+    RawPeer& client = send_upload(clients);
+    while (client.in.empty() && SteadyClock::now() - last_byte_sent < milliseconds(5 * kTimeout)) {
+        run_for(kPause);
+        servers.front().read(kPiece);
+        client.read();
+    }
+    expect_refusal_in_time(client);
+}
+
 // A pause that is shorter than the time-out does no harm.
 TEST_P(StalledUpload, IsServedIfServerReadsAgainInTime) {
     std::list<RawPeer> clients;
