Tidy: one run_for() for the tests, unused constant and function removed

Change: NetRig::run_for() replaces two copies; kMaxBufferedBodyBytes and DownstreamListener::draining() had no use. Behaviour as before.

--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -12,8 +12,6 @@
 /// HTTP/1.1 in Beast's numbering of versions.
 constexpr unsigned kHttpVersion = 11;
 
-/// The longest body that is buffered completely, in bytes.
-constexpr std::size_t kMaxBufferedBodyBytes = 64 * 1024;
 /// The longest body that is forwarded, in bytes.
 constexpr std::uint64_t kMaxForwardedBodyBytes = 32 * 1024 * 1024;
 /// The longest head of a message, in bytes.
--- a/src/node/downstream_listener.hpp
+++ b/src/node/downstream_listener.hpp
@@ -62,7 +62,6 @@
     void close_waiting_connections();
     std::size_t connection_count() const { return connections_.size(); }
     net::Tcp::endpoint address() const { return address_; }
-    bool draining() const { return draining_; }
     /// Sets the maximum number of connections. Excess idle connections are evicted at once, longest idle
     /// first; the others count against the limit until they end.
     void limit_connections(std::size_t connections);
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -268,6 +268,11 @@
     void start_with_a() { start({{"s-a", a.address()}}); }
     TestClient& client() { return clients.emplace_back(io, sidecar->address()); }
     void until(const std::function<bool()>& reached) { run_until(io, reached); }
+    /// Runs the event loop for that long.
+    void run_for(std::chrono::microseconds length) {
+        const auto end = std::chrono::steady_clock::now() + length;
+        until([&] { return std::chrono::steady_clock::now() >= end; });
+    }
     /// Sends a request on a new connection and waits for the response.
     TestClient::Answer send_and_wait(const std::string& bytes) {
         TestClient& c = client();
--- a/tests/stalled_upload_test.cpp
+++ b/tests/stalled_upload_test.cpp
@@ -42,12 +42,6 @@
         EXPECT_EQ(sidecar->metrics().in_flight, 0u) << "the sidecar has not read the last byte";
         return client;
     }
-    void run_for(milliseconds time) {
-        asio::steady_timer timer(io, time);
-        bool is_over = false;
-        timer.async_wait([&](error_code) { is_over = true; });
-        until([&] { return is_over; });
-    }
     void expect_refusal_in_time(RawPeer& client) {
         until([&] {
             client.read();
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -36,11 +36,6 @@
 
     Ports downstream_ports() const { return {sidecar->address().port(), 0}; }
     static Ports to(const ScriptedServer& server) { return {0, server.endpoint().port()}; }
-    // Runs the event loop for that long.
-    void run_for(std::chrono::microseconds length) {
-        const auto end = std::chrono::steady_clock::now() + length;
-        until([&] { return std::chrono::steady_clock::now() >= end; });
-    }
     /// Starts the sidecar with two servers that have answered requests. They close the connection after each
     /// response, so that each attempt has to connect.
     void start_with_servers_known() {
