--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -348,10 +348,9 @@
     std::string name;
     std::string bytes;
     std::string response{};
+    friend std::ostream& operator<<(std::ostream& out, const Crowd& crowd) { return out << crowd.name; }
 };
 
-void PrintTo(const Crowd& crowd, std::ostream* out) { *out << crowd.name; }
-
 std::string times(const std::string& text, int count) {
     std::string all;
     for (int i = 0; i < count; ++i) all += text;
@@ -362,7 +361,7 @@
     return replace_first(head, "Host: app.svc\r\n", "Host: app.svc\r\n" + fields);
 }
 
-const Crowd kCrowds[] = {
+const std::vector<Crowd> crowds = {
     {"HeadsOfShortFields", with_fields(request("listen", "id", 20000), times("a:b\r\n", 3100))},
     {"IncompleteHeads",
      with_fields(request("listen", "id", 20000), times("long: 0123456789\r\n", 880)).substr(0, 15000)},
@@ -422,7 +421,7 @@
     });
 }
 
-INSTANTIATE_TEST_SUITE_P(Each, CrowdMemory, testing::ValuesIn(kCrowds),
+INSTANTIATE_TEST_SUITE_P(Each, CrowdMemory, testing::ValuesIn(crowds),
                          [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -255,7 +255,7 @@
     limits.stream_idle_timeout = kIdleTimeout;
     create_pool(limits);
     std::shared_ptr<net::BodyBuffer> streamed;
-    on_response_started = [&](UpstreamResponseHead, std::shared_ptr<net::BodyBuffer> body) {
+    on_response_started = [&](const UpstreamResponseHead&, std::shared_ptr<net::BodyBuffer> body) {
         streamed = std::move(body);
     };
     const auto began = std::chrono::steady_clock::now();
