--- a/tests/departed_client_test.cpp
+++ b/tests/departed_client_test.cpp
@@ -54,6 +54,7 @@
     ASSERT_TRUE(write_until_stuck(client, read_some));
     const auto late = Steady::now() + milliseconds(150);
     until([&] { return Steady::now() > late; });
+    ASSERT_EQ(sidecar->metrics().attempts, 0u) << "the last byte was sent before the client has left";
     error_code ignored;
     client.socket.close(ignored);
     std::string in;
