CrowdMemory: each client of the crowd has a request id of its own

Need: all 200 clients sent one id, so since AttemptHistory 199 of the half-sent uploads got a 409 at once and the test of HalfOfALongBody checked almost nothing. A run of all tests with a count of repeats shows it is the only test but RepeatedRequest. Change: one id a client; the assertions stay.

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -378,6 +378,7 @@
 struct CrowdMemory : Stream, testing::WithParamInterface<Crowd> {
     static constexpr std::size_t kClients = 200, kMegabytes = 32;
     std::list<RawPeer> crowd;
+    std::list<std::string> bytes_by_client;  // each request has an id of its own
     std::list<std::size_t> sent_by_client, sent_by_server;
 
     // Writes as much as the socket accepts, without a copy of its own as RawPeer::out would be.
@@ -390,11 +391,16 @@
         for (std::size_t i = 0; i < kClients; ++i) {
             crowd.emplace_back(io, sidecar->address());
             sent_by_client.push_back(0);
+            const std::string id = "Request-Id: id-" + std::to_string(i);
+            const std::string& bytes = GetParam().bytes;
+            const bool has_id = bytes.find("Request-Id: id") != std::string::npos;
+            bytes_by_client.push_back(has_id ? replace_first(bytes, "Request-Id: id", id) : bytes);
         }
     }
     void exchange() {
         auto sent = sent_by_client.begin();
-        for (RawPeer& client : crowd) write_rest(client, GetParam().bytes, *sent++);
+        auto bytes = bytes_by_client.begin();
+        for (RawPeer& client : crowd) write_rest(client, *bytes++, *sent++);
         while (sent_by_server.size() < servers.size()) sent_by_server.push_back(0);
         sent = sent_by_server.begin();
         for (RawPeer& server : servers) write_rest(server, GetParam().response, *sent++);
